Add build skeleton, design page and module interfaces

The design page records the decisions and alternatives; the headers fix the interfaces between modules so that they can be built side by side.

--- /dev/null
+++ b/cmake/Modules.cmake
@@ -0,0 +1,29 @@
+# Declares a module below libs/: a static library from src/*.cpp with public
+# headers in include/, and one Catch2 test binary from tests/*.cpp.
+function(amaranthgap_module NAME)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  set(dir ${CMAKE_SOURCE_DIR}/libs/${NAME})
+  file(GLOB sources CONFIGURE_DEPENDS ${dir}/src/*.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS ${dir}/tests/*.cpp)
+
+  if(sources)
+    add_library(${NAME} STATIC ${sources})
+    target_include_directories(${NAME} PUBLIC ${dir}/include PRIVATE ${dir}/src)
+    target_link_libraries(${NAME} PUBLIC ${ARG_LINK} Threads::Threads)
+  else()
+    add_library(${NAME} INTERFACE)
+    target_include_directories(${NAME} INTERFACE ${dir}/include)
+    target_link_libraries(${NAME} INTERFACE ${ARG_LINK} Threads::Threads)
+  endif()
+
+  if(BUILD_TESTING AND tests)
+    add_executable(${NAME}_tests ${tests})
+    target_link_libraries(${NAME}_tests PRIVATE ${NAME} test_main)
+    target_include_directories(${NAME}_tests PRIVATE ${dir}/src ${dir}/tests)
+    add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+  endif()
+endfunction()
+
+if(BUILD_TESTING)
+  add_library(test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
+endif()
--- /dev/null
+++ b/cmake/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/libs/base/include/base/Logger.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/EnumNames.h"
+#include "base/Time.h"
+
+namespace amaranthgap {
+
+enum class LogLevel : uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+template<>
+struct EnumNames<LogLevel>
+{
+  static constexpr std::array kNames{
+    std::pair{ LogLevel::Debug, std::string_view{ "debug" } },
+    std::pair{ LogLevel::Info, std::string_view{ "info" } },
+    std::pair{ LogLevel::Warning, std::string_view{ "warning" } },
+    std::pair{ LogLevel::Error, std::string_view{ "error" } },
+  };
+};
+
+/** One key=value pair of a log line. */
+struct LogField
+{
+  std::string_view mKey;
+  std::string mValue;
+};
+
+/** Writes one key=value line for each event to standard error, at most
+ * `mLinesPerSecond` for each event name; a line that follows suppressed ones
+ * carries their number. Safe for use by several threads. */
+class Logger
+{
+public:
+  struct Options
+  {
+    LogLevel mLevel = LogLevel::Info;
+    std::string mNode;
+    uint32_t mLinesPerSecond = 20;
+  };
+
+  explicit Logger(Options aOptions);
+
+  void Write(TimePoint aNow,
+             LogLevel aLevel,
+             std::string_view aEvent,
+             const std::vector<LogField>& aFields);
+
+  /** @return a value as it stands in a line: quoted when it holds a space, a
+   * quote, an equals sign or a control character. */
+  static std::string Quote(std::string_view aValue);
+
+private:
+  struct Window
+  {
+    TimePoint mStart{};
+    uint32_t mLines = 0;
+    uint64_t mSuppressed = 0;
+  };
+
+  Options mOptions;
+  std::mutex mMutex;
+  std::map<std::string, Window, std::less<>> mWindows;
+};
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/config/include/config/Manifest.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/Error.h"
+#include "base/Time.h"
+
+namespace amaranthgap {
+
+constexpr uint32_t kHighestImportance = 9;
+
+/** Declared client identity. */
+struct CallerEntry
+{
+  std::string mParty;
+};
+
+/** Declared request class of one service. */
+struct ClassEntry
+{
+  uint32_t mImportance = 0;
+  bool mIdempotent = true;
+  Duration mTimeout{};
+};
+
+/** Limits that hold for the whole fleet. */
+struct FleetLimits
+{
+  uint32_t mMaxRetriesPerRequest = 3;
+  double mRetryRatio = 0.1;
+  double mCrossRegionMbitPerS = 400;
+  Duration mTargetDelay = milliseconds(50);
+  Duration mQuarantine = minutes(10);
+  Duration mKeyLifetime = minutes(10);
+  uint32_t mMaxBodyBytes = 512 * 1024;
+};
+
+/** Operators' declarations in force, in typed form. Immutable once shared. */
+struct Manifest
+{
+  uint64_t mVersion = 0;
+  uint64_t mDigest = 0;
+  FleetLimits mLimits;
+  std::map<std::string, CallerEntry, std::less<>> mCallers;
+  /** Classes by service, then by class name. A service is declared by having
+   * at least one class. */
+  std::map<std::string,
+           std::map<std::string, ClassEntry, std::less<>>,
+           std::less<>>
+    mServices;
+
+  [[nodiscard]] const CallerEntry* FindCaller(std::string_view aName) const;
+  [[nodiscard]] const ClassEntry* FindClass(std::string_view aService,
+                                            std::string_view aName) const;
+};
+
+/** Canonical flat form of a manifest, from which the digest and differences
+ * are taken: entry name (such as `classes/billing/charge`) to value. */
+using ManifestEntries = std::map<std::string, std::string>;
+
+/** Problem in a configuration file. */
+struct ConfigProblem
+{
+  std::string mFile;
+  uint32_t mLine = 0;
+  std::string mKey;
+  std::string mReason;
+
+  /** @return `file:line: key: reason`. */
+  [[nodiscard]] std::string ToString() const;
+};
+
+template<class T>
+using ConfigResult =
+  boost::outcome_v2::basic_result<T,
+                                  std::vector<ConfigProblem>,
+                                  boost::outcome_v2::policy::terminate>;
+
+/**
+ * Reads and validates a manifest in TOML.
+ * @param aText content of the file.
+ * @param aFile name used in problems.
+ * @return the flat form, or every problem found.
+ */
+ConfigResult<ManifestEntries>
+ParseManifest(std::string_view aText, const std::string& aFile);
+
+/** @return the typed form of valid entries, or an error naming the entry. */
+Result<Manifest>
+BuildManifest(uint64_t aVersion, const ManifestEntries& aEntries);
+
+/** @return the digest of the flat form; independent of the version. */
+uint64_t
+DigestOf(const ManifestEntries& aEntries);
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/config/src/Headers.cpp
@@ -0,0 +1,1 @@
+#include "config/Settings.h"
--- /dev/null
+++ b/libs/manifest/include/manifest/ManifestPublisher.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "config/Manifest.h"
+#include "platform/KeyValueStore.h"
+#include "wire/Messages.h"
+
+namespace amaranthgap {
+
+/** What became of one attempt to publish. */
+enum class PublishVerdict : uint8_t
+{
+  Accepted,
+  Unchanged, ///< The manifest in force has the same content.
+  Lost,      ///< Another publisher won; nothing was changed.
+  NotDone,   ///< Certain to have had no effect.
+  Unclear,   ///< The store could not be read back in time.
+};
+
+template<>
+struct EnumNames<PublishVerdict>
+{
+  static constexpr std::array kNames{
+    std::pair{ PublishVerdict::Accepted, std::string_view{ "accepted" } },
+    std::pair{ PublishVerdict::Unchanged, std::string_view{ "unchanged" } },
+    std::pair{ PublishVerdict::Lost, std::string_view{ "lost" } },
+    std::pair{ PublishVerdict::NotDone, std::string_view{ "not-done" } },
+    std::pair{ PublishVerdict::Unclear, std::string_view{ "unclear" } },
+  };
+};
+
+struct PublishReport
+{
+  PublishVerdict mVerdict = PublishVerdict::NotDone;
+  ManifestStamp mInForce; ///< Head of the store after the attempt.
+  std::string mPublisher; ///< Who published the head.
+  std::string mDetail;
+};
+
+struct PublishOptions
+{
+  std::string mPublisher;     ///< Name of the operator or pipeline.
+  std::string mPublishId;     ///< Unique for each attempt.
+  uint64_t mFleetVersion = 0; ///< Highest version that asked nodes report.
+  int64_t mWallMillis = 0;
+};
+
+/** Publishes a manifest by compare-and-swap on the head; see section 8.9 of
+ * the design page. */
+PublishReport
+PublishManifest(KeyValueStore& aStore,
+                const ManifestEntries& aEntries,
+                const PublishOptions& aOptions);
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/node/src/Headers.cpp
@@ -0,0 +1,2 @@
+#include "node/EntryLogic.h"
+#include "node/NodeLogic.h"
