Implement overload policies, crash correlation and routing

The other modules link against these classes.

Two crashes quarantine a fingerprint only when it was alone in flight, three otherwise, because a second crash with other requests in flight does not prove the suspect.

--- a/libs/overload/include/overload/AdmissionQueue.h
+++ b/libs/overload/include/overload/AdmissionQueue.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/Ids.h"
@@ -64,6 +69,61 @@
   /** @return expected wait of a call of this importance over the target delay;
    * 1 and above means that it would be refused. */
   [[nodiscard]] double Fill(uint32_t aImportance, double aDrainRate) const;
+
+private:
+  struct Entry
+  {
+    WaitingCall mCall;
+    Duration mRun{}; ///< Expected; zero when unknown.
+    uint64_t mNumber = 0;
+  };
+
+  /** Deeper first, then by arrival. */
+  struct Before
+  {
+    bool operator()(const Entry& aOne, const Entry& aOther) const
+    {
+      return aOne.mCall.mDepth != aOther.mCall.mDepth
+               ? aOne.mCall.mDepth > aOther.mCall.mDepth
+               : aOne.mNumber < aOther.mNumber;
+    }
+  };
+
+  using Key = std::pair<uint32_t, std::string>; ///< Importance and party.
+  using Line = std::set<Entry, Before>;
+
+  struct Level
+  {
+    std::map<std::string, Line> mLines; ///< By party; none is empty.
+    size_t mSize = 0;
+  };
+
+  struct Taken
+  {
+    Key mKey;
+    double mSeconds = 0;
+  };
+
+  [[nodiscard]] double Attained(TimePoint aNow,
+                                const Key& aKey,
+                                const PartyUsage& aUsage) const;
+  [[nodiscard]] size_t Bound(double aDrainRate) const;
+  [[nodiscard]] size_t Ahead(TimePoint aNow,
+                             const Entry& aEntry,
+                             const PartyUsage& aUsage) const;
+  [[nodiscard]] bool IsHopeless(TimePoint aNow, const Entry& aEntry) const;
+  [[nodiscard]] ExecutionId LastInOrder(TimePoint aNow,
+                                        const PartyUsage& aUsage) const;
+  void ForgetTaken(TimePoint aNow);
+
+  Options mOptions;
+  std::map<uint32_t, Level, std::greater<>> mLevels; ///< By importance.
+  std::unordered_map<ExecutionId, std::pair<Key, Line::const_iterator>> mIndex;
+  std::multimap<TimePoint, Taken> mTaken; ///< By expected end.
+  std::map<Key, double> mTakenSeconds;
+  double mMeanRun = 0; ///< Seconds, over the calls offered lately.
+  uint64_t mNextNumber = 0;
+  TimePoint mLastTake;
 };
 
 } // namespace amaranthgap
--- a/libs/overload/include/overload/ConcurrencyLimiter.h
+++ b/libs/overload/include/overload/ConcurrencyLimiter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <unordered_map>
 
 #include "base/EnumNames.h"
 #include "base/Time.h"
@@ -60,7 +60,68 @@
   void Started(TimePoint aNow, uint32_t aInFlight, bool aWaiting);
   void Finished(TimePoint aNow, const CallSample& aSample);
 
-  // The implementation's private state follows.
+private:
+  /** Calls that started one after the other under the same limit. */
+  struct Cohort
+  {
+    uint32_t mWanted = 0;
+    uint32_t mStarted = 0;
+    uint32_t mFinished = 0;
+    uint32_t mSaturated = 0; ///< Started with the limit fully used.
+    uint32_t mWaited = 0;    ///< Started while others waited.
+    double mInFlight = 0;    ///< Sum at the starts.
+    TimePoint mBegin;
+    TimePoint mLastStart;
+    // Logarithms of the own time over the reference of its class.
+    uint32_t mSamples = 0;
+    double mSum = 0;
+    double mSquares = 0;
+
+    [[nodiscard]] double Mean() const;
+    [[nodiscard]] double Variance() const; ///< Of the mean.
+    [[nodiscard]] double MeanInFlight() const;
+    [[nodiscard]] bool IsSaturated() const;
+  };
+
+  struct ClassReference
+  {
+    double mLog = 0;
+    uint32_t mSamples = 0;
+  };
+
+  [[nodiscard]] double Ceiling() const;
+  [[nodiscard]] double Ramp(TimePoint aNow) const;
+  [[nodiscard]] bool IsProbing(TimePoint aNow) const;
+  void StartCohort(TimePoint aNow, LimitRegime aRegime, double aLimit);
+  void CohortDone(TimePoint aNow);
+  void JudgeProbe(TimePoint aNow, const Cohort& aAfter);
+  void JudgeDown(TimePoint aNow, const Cohort& aAfter);
+  void JudgeUp(TimePoint aNow, const Cohort& aAfter);
+  void ChooseProbe(TimePoint aNow, const Cohort& aCohort);
+  void Shed(TimePoint aNow);
+  void SetLimit(double aLimit);
+
+  Options mOptions;
+  double mLimit = 1;
+  LimitRegime mRegime = LimitRegime::Steady;
+  double mProbeLimit = 1;
+  TimePoint mProbeDeadline;
+  Cohort mCohort;
+  Cohort mBefore; ///< The cohort before the probe.
+  Cohort mProbe;
+  LimitRegime mJudge = LimitRegime::Steady; ///< Probe that waits for judgement.
+  std::unordered_map<uint64_t, ClassReference> mReferences;
+  double mLevel = 0;   ///< Mean logarithm over the references, latest cohort.
+  double mChecked = 0; ///< Level at which the limit was found right.
+  bool mIsChecked = false;
+  double mMeanOwn = 0; ///< Seconds.
+  double mUpStep = 0;
+  TimePoint mNextDown;
+  TimePoint mNextUp;
+  TimePoint mNextShedCut;
+  Duration mDownPause{};
+  Duration mUpPause{};
+  Duration mCohortTime{};
 };
 
 } // namespace amaranthgap
--- a/libs/overload/include/overload/EntryThrottle.h
+++ b/libs/overload/include/overload/EntryThrottle.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <tuple>
 
 #include "base/Rng.h"
 #include "base/Time.h"
@@ -45,6 +48,48 @@
 
   /** Drops streams without arrivals for a minute. */
   void Expire(TimePoint aNow);
+
+private:
+  struct Stream
+  {
+    TimePoint mLastArrival;
+    bool mThrottled = false;
+    double mRate = 0; ///< Calls per second, only while throttled.
+    double mTokens = 0;
+    TimePoint mTokenTime;
+    TimePoint mHoldUntil; ///< Refusals until then are of calls sent before.
+    TimePoint mLastReply;
+    // The interval under way.
+    TimePoint mBegin;
+    Duration mLength{};
+    uint32_t mArrived = 0;
+    uint32_t mAdmitted = 0;
+    uint32_t mAccepted = 0;
+    uint32_t mRefused = 0;
+    double mPressure = 0; ///< Sum over the replies.
+    // Smoothed over about a second, in calls per second.
+    double mDemand = 0;
+    double mGoodput = 0;
+  };
+
+  /** What all parties heard of one class of a service. */
+  struct View
+  {
+    TimePoint mPressed;
+    TimePoint mRelaxed;
+  };
+
+  using ViewKey = std::tuple<std::string, std::string, uint32_t>;
+
+  Stream& Touch(TimePoint aNow, const ThrottleKey& aKey);
+  void CloseInterval(TimePoint aNow, const ThrottleKey& aKey, Stream& aStream);
+  void Cut(TimePoint aNow, Stream& aStream, double aSeconds);
+  void Grow(TimePoint aNow, const ThrottleKey& aKey, Stream& aStream);
+  [[nodiscard]] Duration DrawLength();
+
+  Rng mRng;
+  std::map<ThrottleKey, Stream> mStreams;
+  std::map<ViewKey, View> mViews;
 };
 
 } // namespace amaranthgap
--- a/libs/overload/include/overload/PartyUsage.h
+++ b/libs/overload/include/overload/PartyUsage.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/Ids.h"
@@ -35,6 +36,27 @@
 
   /** @return what this node alone served, for a UsageReport. */
   [[nodiscard]] std::vector<PartyShare> LocalShares(TimePoint aNow) const;
+
+private:
+  using Key = std::pair<uint32_t, std::string>; ///< Importance and party.
+
+  struct Local
+  {
+    double mSeconds = 0; ///< As of mTime.
+    TimePoint mTime;
+  };
+
+  struct Remote
+  {
+    TimePoint mReceived;
+    std::map<Key, double> mSeconds;
+  };
+
+  void DropFaded(TimePoint aNow);
+
+  std::map<Key, Local> mLocal;
+  std::map<NodeId, Remote> mRemote;
+  size_t mChargesSinceSweep = 0;
 };
 
 } // namespace amaranthgap
--- a/libs/overload/include/overload/RetryLedger.h
+++ b/libs/overload/include/overload/RetryLedger.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <utility>
 
 #include "base/Ids.h"
 #include "base/Time.h"
@@ -29,6 +32,18 @@
   void End(TimePoint aNow, const RequestId& aRequest);
   void Expire(TimePoint aNow);
   [[nodiscard]] size_t Size() const;
+
+private:
+  struct Entry
+  {
+    uint32_t mGranted = 0;
+    uint32_t mOpen = 0; ///< Begin calls without their End.
+    TimePoint mEnded;
+  };
+
+  Options mOptions;
+  std::unordered_map<RequestId, Entry> mEntries;
+  std::deque<std::pair<TimePoint, RequestId>> mEnded; ///< By time of End.
 };
 
 } // namespace amaranthgap
--- a/libs/quarantine/include/quarantine/CrashCorrelator.h
+++ b/libs/quarantine/include/quarantine/CrashCorrelator.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/Ids.h"
@@ -58,6 +59,28 @@
   static std::optional<NodeId> DesignatedNode(
     uint64_t aFingerprint,
     const std::vector<NodeId>& aNodes);
+
+  /** @return all that is known, to bring a new node of the service up to date;
+   * its service is not set. */
+  [[nodiscard]] CrashReport Known(TimePoint aNow) const;
+
+  [[nodiscard]] size_t Size() const { return mEntries.size(); }
+
+private:
+  struct Entry
+  {
+    FingerprintState mState = FingerprintState::Suspect;
+    uint32_t mCrashes = 1; ///< Crashes with it in flight, none completed since.
+    TimePoint mSince;
+  };
+
+  [[nodiscard]] const Entry* Find(TimePoint aNow, uint64_t aFingerprint) const;
+  void Suspect(TimePoint aNow, uint64_t aFingerprint, uint32_t aCrashes);
+  void Quarantine(TimePoint aNow, uint64_t aFingerprint);
+  void MakeRoom(TimePoint aNow);
+
+  Options mOptions;
+  std::unordered_map<uint64_t, Entry> mEntries;
 };
 
 } // namespace amaranthgap
--- /dev/null
+++ b/libs/quarantine/src/CrashCorrelator.cpp
@@ -0,0 +1,223 @@
+#include "quarantine/CrashCorrelator.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/Hash.h"
+
+namespace amaranthgap {
+
+namespace {
+
+// Crashes with a fingerprint in flight, the last one as the only suspect, that
+// prove it while other requests were in flight as well. With two, an innocent
+// suspect would be quarantined when another request crashes its target.
+constexpr uint32_t kProof = 3;
+
+} // namespace
+
+uint64_t
+FingerprintOf(const std::string& aService,
+              const std::string& aRequestClass,
+              const HttpRequest& aHttp)
+{
+  // The seed chains the parts, so that moving a byte from one part to the next
+  // gives another fingerprint.
+  uint64_t hash = Hash64(aService);
+  hash = Hash64(aRequestClass, hash);
+  hash = Hash64(aHttp.mMethod, hash);
+  hash = Hash64(aHttp.mPath, hash);
+  return Hash64(aHttp.mBody, hash);
+}
+
+CrashCorrelator::CrashCorrelator(const Options& aOptions)
+  : mOptions(aOptions)
+{
+}
+
+const CrashCorrelator::Entry*
+CrashCorrelator::Find(TimePoint aNow, uint64_t aFingerprint) const
+{
+  const auto it = mEntries.find(aFingerprint);
+  if (it == mEntries.end() ||
+      aNow - it->second.mSince >= mOptions.mQuarantine) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+FingerprintState
+CrashCorrelator::StateOf(TimePoint aNow, uint64_t aFingerprint) const
+{
+  const Entry* entry = Find(aNow, aFingerprint);
+  return entry ? entry->mState : FingerprintState::Clear;
+}
+
+CrashReport
+CrashCorrelator::UpstreamCrashed(TimePoint aNow,
+                                 const std::vector<uint64_t>& aInFlight)
+{
+  const std::set<uint64_t> inFlight(aInFlight.begin(), aInFlight.end());
+  std::vector<uint64_t> known;
+  for (const uint64_t fingerprint : inFlight) {
+    if (StateOf(aNow, fingerprint) == FingerprintState::Suspect) {
+      known.push_back(fingerprint);
+    }
+  }
+  std::optional<uint64_t> proven;
+  if (known.size() == 1 &&
+      (inFlight.size() == 1 || Find(aNow, known[0])->mCrashes + 1 >= kProof)) {
+    proven = known[0];
+  }
+
+  CrashReport report;
+  for (const uint64_t fingerprint : inFlight) {
+    if (fingerprint == proven) {
+      Quarantine(aNow, fingerprint);
+      report.mQuarantined.push_back(fingerprint);
+      continue;
+    }
+    // A proven culprit explains the crash; the others stay as they were.
+    const Entry* entry = Find(aNow, fingerprint);
+    if (proven || (entry && entry->mState == FingerprintState::Quarantined)) {
+      continue;
+    }
+    const uint32_t crashes = std::min(entry ? entry->mCrashes + 1 : 1, kProof);
+    Suspect(aNow, fingerprint, crashes);
+    // Once for each crash, so that a report that arrives twice adds none.
+    report.mSuspects.insert(report.mSuspects.end(), crashes, fingerprint);
+  }
+  return report;
+}
+
+std::optional<CrashReport>
+CrashCorrelator::Completed(TimePoint aNow, uint64_t aFingerprint)
+{
+  if (StateOf(aNow, aFingerprint) != FingerprintState::Suspect) {
+    return std::nullopt;
+  }
+  mEntries.erase(aFingerprint);
+  CrashReport report;
+  report.mCleared.push_back(aFingerprint);
+  return report;
+}
+
+void
+CrashCorrelator::Apply(TimePoint aNow, const CrashReport& aReport)
+{
+  std::unordered_map<uint64_t, uint32_t> crashes;
+  for (const uint64_t fingerprint : aReport.mSuspects) {
+    ++crashes[fingerprint];
+  }
+  for (const auto& [fingerprint, count] : crashes) {
+    Suspect(aNow, fingerprint, std::min(count, kProof));
+  }
+  for (const uint64_t fingerprint : aReport.mQuarantined) {
+    Quarantine(aNow, fingerprint);
+  }
+  for (const uint64_t fingerprint : aReport.mCleared) {
+    if (StateOf(aNow, fingerprint) == FingerprintState::Suspect) {
+      mEntries.erase(fingerprint);
+    }
+  }
+}
+
+std::vector<uint64_t>
+CrashCorrelator::Expire(TimePoint aNow)
+{
+  std::vector<uint64_t> ended;
+  std::erase_if(mEntries, [&](const auto& aItem) {
+    if (aNow - aItem.second.mSince < mOptions.mQuarantine) {
+      return false;
+    }
+    if (aItem.second.mState == FingerprintState::Quarantined) {
+      ended.push_back(aItem.first);
+    }
+    return true;
+  });
+  std::sort(ended.begin(), ended.end());
+  return ended;
+}
+
+std::optional<NodeId>
+CrashCorrelator::DesignatedNode(uint64_t aFingerprint,
+                                const std::vector<NodeId>& aNodes)
+{
+  std::optional<NodeId> best;
+  uint64_t bestWeight = 0;
+  for (const auto& node : aNodes) {
+    const uint64_t weight = RendezvousWeight(node.mValue, aFingerprint);
+    if (!best || weight > bestWeight ||
+        (weight == bestWeight && node < *best)) {
+      best = node;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+CrashReport
+CrashCorrelator::Known(TimePoint aNow) const
+{
+  CrashReport report;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    if (aNow - entry.mSince >= mOptions.mQuarantine) {
+      continue;
+    }
+    if (entry.mState == FingerprintState::Quarantined) {
+      report.mQuarantined.push_back(fingerprint);
+    } else {
+      report.mSuspects.insert(
+        report.mSuspects.end(), entry.mCrashes, fingerprint);
+    }
+  }
+  return report;
+}
+
+void
+CrashCorrelator::Suspect(TimePoint aNow,
+                         uint64_t aFingerprint,
+                         uint32_t aCrashes)
+{
+  if (const Entry* entry = Find(aNow, aFingerprint)) {
+    if (entry->mState == FingerprintState::Suspect &&
+        aCrashes > entry->mCrashes) {
+      mEntries[aFingerprint] = { .mCrashes = aCrashes, .mSince = aNow };
+    }
+    return;
+  }
+  MakeRoom(aNow);
+  mEntries[aFingerprint] = { .mCrashes = aCrashes, .mSince = aNow };
+}
+
+void
+CrashCorrelator::Quarantine(TimePoint aNow, uint64_t aFingerprint)
+{
+  const Entry* entry = Find(aNow, aFingerprint);
+  if (entry && entry->mState == FingerprintState::Quarantined) {
+    return;
+  }
+  if (!entry) {
+    MakeRoom(aNow);
+  }
+  mEntries[aFingerprint] = { .mState = FingerprintState::Quarantined,
+                             .mSince = aNow };
+}
+
+void
+CrashCorrelator::MakeRoom(TimePoint /*aNow*/)
+{
+  if (mEntries.size() < std::max<size_t>(1, mOptions.mCapacity)) {
+    return;
+  }
+  // The oldest suspect goes first: a quarantined fingerprint is proven to
+  // crash upstreams, most suspects are innocent.
+  const auto victim = std::min_element(
+    mEntries.begin(), mEntries.end(), [](const auto& aOne, const auto& aOther) {
+      return std::pair{ aOne.second.mState, aOne.second.mSince } <
+             std::pair{ aOther.second.mState, aOther.second.mSince };
+    });
+  mEntries.erase(victim);
+}
+
+} // namespace amaranthgap
--- a/libs/routing/include/routing/LinkBudget.h
+++ b/libs/routing/include/routing/LinkBudget.h
@@ -14,6 +14,13 @@
   bool TryTake(TimePoint aNow, double aBytes);
   /** Books the difference between expected and real size afterwards. */
   void Settle(TimePoint aNow, double aBytes);
+
+private:
+  void Refill(TimePoint aNow);
+
+  double mRate = 0;
+  double mTokens = 0; ///< Negative after an answer larger than the bucket.
+  TimePoint mTime;
 };
 
 } // namespace amaranthgap
--- a/libs/routing/include/routing/Router.h
+++ b/libs/routing/include/routing/Router.h
@@ -67,6 +67,51 @@
 
   /** @return whether half of the targets or more have refused lately. */
   [[nodiscard]] bool IsShedding(TimePoint aNow) const;
+
+private:
+  enum class Tier : uint8_t
+  {
+    DataCentre,
+    Region,
+    OtherRegion,
+  };
+
+  struct Target
+  {
+    MemberUpdate mMember;
+    Tier mTier = Tier::DataCentre;
+    uint32_t mInFlight = 0; ///< From this node.
+    TargetLoad mLoad;
+    uint32_t mOthers = 0; ///< Calls of other nodes as of the last reply.
+    TimePoint mLoadTime;
+    bool mHasLoad = false;
+    bool mLeaving = false;
+    TimePoint mAdded;
+    bool mWarm = true; ///< Known when this node started; no warm-up.
+    Duration mBackoff{};
+    TimePoint mBackoffUntil;
+    TimePoint mLastTrial;
+    bool mOnTrial = false; ///< Called once although in backoff.
+    double mReplies = 0;   ///< Decayed count as of mRepliesTime.
+    double mRefusals = 0;
+    TimePoint mRepliesTime;
+  };
+
+  Target* FindTarget(const NodeRef& aNode);
+  [[nodiscard]] static bool Accepts(const Target& aTarget);
+  [[nodiscard]] static double Weight(TimePoint aNow, const Target& aTarget);
+  [[nodiscard]] static double Score(TimePoint aNow, const Target& aTarget);
+  [[nodiscard]] static bool IsPressed(TimePoint aNow, const Target& aTarget);
+  [[nodiscard]] static bool HasRefusedLately(TimePoint aNow,
+                                             const Target& aTarget);
+  static void CountReply(TimePoint aNow, Target& aTarget, bool aRefused);
+  static Choice MakeChoice(const Target& aTarget);
+  Target* PickOfTwo(TimePoint aNow, const std::vector<Target*>& aTargets);
+
+  Options mOptions;
+  Rng mRng;
+  std::vector<Target> mTargets;
+  bool mHadTargets = false;
 };
 
 } // namespace amaranthgap
