--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -20,6 +20,8 @@
     add_executable(${NAME}_tests ${tests})
     target_link_libraries(${NAME}_tests PRIVATE ${NAME} test_main)
     target_include_directories(${NAME}_tests PRIVATE ${dir}/src ${dir}/tests)
+    target_compile_definitions(${NAME}_tests PRIVATE
+      AMARANTHGAP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     add_test(NAME ${NAME} COMMAND ${NAME}_tests)
   endif()
 endfunction()
--- a/libs/config/src/Headers.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "config/Settings.h"
--- /dev/null
+++ b/libs/config/tests/ExamplesTest.cpp
@@ -0,0 +1,34 @@
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include "config/Settings.h"
+
+using namespace amaranthgap;
+
+namespace {
+
+std::string
+ReadFile(const std::string& aName)
+{
+  std::ifstream in(AMARANTHGAP_SOURCE_DIR "/examples/" + aName);
+  REQUIRE(in.good());
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+} // namespace
+
+// Guards against examples that the program itself refuses.
+TEST_CASE("the example files are valid", "[config]")
+{
+  CHECK(ParseSettings(ReadFile("settings.toml"), "settings.toml"));
+  for (const char* name : { "kitaguni-manifest.toml", "tapis-manifest.toml" }) {
+    CAPTURE(name);
+    const auto entries = ParseManifest(ReadFile(name), name);
+    REQUIRE(entries);
+    CHECK(BuildManifest(1, entries.value()));
+  }
+}
