Judge concurrency limits by probes with pooled evidence

Cause: the first limiter collapsed under constant service times, because its class references absorbed the effect of the limit itself, and at 8 slots single noisy probes moved the limit at random. Conclusion: compare the cohorts before, during and after a probe, correct only differences between classes, and pool probes until they agree.

--- a/libs/overload/include/overload/ConcurrencyLimiter.h
+++ b/libs/overload/include/overload/ConcurrencyLimiter.h
@@ -64,12 +64,14 @@
   /** Calls that started one after the other under the same limit. */
   struct Cohort
   {
+    uint32_t mLeast = 0;
     uint32_t mWanted = 0;
     uint32_t mStarted = 0;
     uint32_t mFinished = 0;
     uint32_t mSaturated = 0; ///< Started with the limit fully used.
     uint32_t mWaited = 0;    ///< Started while others waited.
-    double mInFlight = 0;    ///< Sum at the starts.
+    double mLimit = 1;
+    TimePoint mFillUntil; ///< Starts before the limit is reached do not count.
     TimePoint mBegin;
     TimePoint mLastStart;
     // Logarithms of the own time over the reference of its class.
@@ -79,7 +81,6 @@
 
     [[nodiscard]] double Mean() const;
     [[nodiscard]] double Variance() const; ///< Of the mean.
-    [[nodiscard]] double MeanInFlight() const;
     [[nodiscard]] bool IsSaturated() const;
   };
 
@@ -87,6 +88,9 @@
   {
     double mLog = 0;
     uint32_t mSamples = 0;
+    // Deviation from the reference within the cohort under way.
+    uint32_t mCohortSamples = 0;
+    double mCohortSum = 0;
   };
 
   [[nodiscard]] double Ceiling() const;
@@ -94,6 +98,7 @@
   [[nodiscard]] bool IsProbing(TimePoint aNow) const;
   void StartCohort(TimePoint aNow, LimitRegime aRegime, double aLimit);
   void CohortDone(TimePoint aNow);
+  void UpdateReferences();
   void JudgeProbe(TimePoint aNow, const Cohort& aAfter);
   void JudgeDown(TimePoint aNow, const Cohort& aAfter);
   void JudgeUp(TimePoint aNow, const Cohort& aAfter);
@@ -113,10 +118,18 @@
   std::unordered_map<uint64_t, ClassReference> mReferences;
   double mLevel = 0;   ///< Mean logarithm over the references, latest cohort.
   double mChecked = 0; ///< Level at which the limit was found right.
-  bool mIsChecked = false;
   double mMeanOwn = 0; ///< Seconds.
   double mUpStep = 0;
+  bool mIsBounded = false; ///< The last step up was rejected.
   TimePoint mNextDown;
+  TimePoint mNextRiseCheck;
+  // Drops seen by the probes under the present limit, weighted by precision.
+  double mDropSum = 0;
+  double mDropWeight = 0;
+  // Slope of the own time over the limit, both as logarithms, as seen by the
+  // latest probes upwards.
+  double mSlopeSum = 0;
+  double mSlopeWeight = 0;
   TimePoint mNextUp;
   TimePoint mNextShedCut;
   Duration mDownPause{};
--- a/libs/overload/src/ConcurrencyLimiter.cpp
+++ b/libs/overload/src/ConcurrencyLimiter.cpp
@@ -12,15 +12,25 @@
 
 // A cohort covers each slot several times, so that its calls all run under the
 // limit that is judged.
-constexpr uint32_t kMinCohort = 48;
-constexpr double kCohortPerSlot = 3;
+constexpr uint32_t kMinCohort = 20;
+constexpr double kCohortPerSlot = 1.5;
+// Noisy cohorts grow up to this factor, or until the mean is this precise.
+constexpr uint32_t kMaxFactor = 2;
+constexpr double kMaxDeviation = 0.06;
+// A logarithm of own times is not known better than this.
+constexpr double kMinDeviation = 0.01;
+// Calls that run side by side are slow together; their mean varies more than
+// that of independent ones.
+constexpr double kCorrelation = 2;
 // The slowest tenth of a cohort is not waited for.
 constexpr double kCohortShare = 0.9;
 
-constexpr double kDeepProbe = 0.5;
-constexpr double kShallowProbe = 0.7;
+// The probe costs the rest of the throughput while it lasts, when the limit is
+// right. At half the limit, a slowed upstream would lose seconds of it.
+constexpr double kSaturated = 0.7;
+constexpr double kDownProbe = 0.7;
 constexpr double kFirstUpStep = 0.1;
-constexpr double kLastUpStep = 0.4;
+constexpr double kLastUpStep = 1;
 
 // Rise of the own time that calls for a probe: a quarter.
 const double kRise = std::log(1.25);
@@ -32,7 +42,7 @@
 
 constexpr uint32_t kLearnSamples = 8;
 constexpr size_t kMaxClasses = 256;
-constexpr double kReferenceGain = 0.01;
+constexpr double kReferenceGain = 0.1;
 
 } // namespace
 
@@ -51,19 +61,15 @@
     return 1;
   }
   const double mean = Mean();
-  return std::max(0.0, mSquares / mSamples - mean * mean) / mSamples;
-}
-
-double
-ConcurrencyLimiter::Cohort::MeanInFlight() const
-{
-  return mStarted ? mInFlight / mStarted : 0.0;
+  return std::max(kMinDeviation * kMinDeviation,
+                  kCorrelation * (mSquares / mSamples - mean * mean) /
+                    mSamples);
 }
 
 bool
 ConcurrencyLimiter::Cohort::IsSaturated() const
 {
-  return mSaturated >= 0.8 * mStarted;
+  return mSaturated >= kSaturated * mStarted;
 }
 
 // -- Limit ------------------------------------------------------------------
@@ -129,6 +135,10 @@
 ConcurrencyLimiter::SetLimit(double aLimit)
 {
   mLimit = std::clamp(aLimit, 1.0, Ceiling());
+  mDropSum = 0;
+  mDropWeight = 0;
+  mSlopeSum = 0;
+  mSlopeWeight = 0;
 }
 
 // -- Events -----------------------------------------------------------------
@@ -142,13 +152,22 @@
     return;
   }
   if (mCohort.mStarted == 0) {
+    // After the limit was raised, arrivals have to fill it first.
+    if (aInFlight < limit && aNow < mCohort.mFillUntil) {
+      return;
+    }
     mCohort.mBegin = aNow;
   }
   ++mCohort.mStarted;
   mCohort.mLastStart = aNow;
-  mCohort.mInFlight += aInFlight;
   mCohort.mSaturated += aWaiting || aInFlight >= limit ? 1 : 0;
   mCohort.mWaited += aWaiting ? 1 : 0;
+  if (mCohort.mStarted == mCohort.mWanted &&
+      mCohort.mWanted < kMaxFactor * mCohort.mLeast &&
+      mCohort.Variance() * mCohort.mSamples >
+        kMaxDeviation * kMaxDeviation * mCohort.mWanted) {
+    mCohort.mWanted += mCohort.mLeast / 2;
+  }
 }
 
 void
@@ -184,9 +203,8 @@
       ++mCohort.mSamples;
       mCohort.mSum += ratio;
       mCohort.mSquares += ratio * ratio;
-      if (mRegime == LimitRegime::Steady) {
-        reference.mLog += kReferenceGain * (ratio - mLevel);
-      }
+      ++reference.mCohortSamples;
+      reference.mCohortSum += ratio;
     }
     mCohort.mFinished += counts ? 1 : 0;
   }
@@ -206,8 +224,15 @@
   mRegime = aRegime;
   mProbeLimit = aLimit;
   mCohort = {};
-  mCohort.mWanted =
+  mCohort.mLimit = std::round(aLimit);
+  mCohort.mLeast =
     uint32_t(std::max<double>(kMinCohort, std::ceil(kCohortPerSlot * aLimit)));
+  mCohort.mWanted = mCohort.mLeast;
+  mCohort.mFillUntil = aNow + FromSeconds(mMeanOwn);
+  for (auto& [id, reference] : mReferences) {
+    reference.mCohortSamples = 0;
+    reference.mCohortSum = 0;
+  }
   // A probe that demand no longer fills is given up.
   const Duration expected =
     FromSeconds(mMeanOwn * (mCohort.mWanted / std::max(1.0, aLimit) + 2));
@@ -227,10 +252,10 @@
   }
   if (cohort.mSamples >= cohort.mWanted / 2) {
     mLevel = cohort.Mean();
+    UpdateReferences();
     if (mJudge != LimitRegime::Steady) {
       JudgeProbe(aNow, cohort);
     }
-    mChecked = std::min(mChecked, mLevel);
     ChooseProbe(aNow, cohort);
   } else {
     mJudge = LimitRegime::Steady;
@@ -238,6 +263,28 @@
   }
 }
 
+void
+ConcurrencyLimiter::UpdateReferences()
+{
+  // Only the differences between the classes are corrected: a change that all
+  // classes have in common is the level that the probes look for.
+  double sum = 0;
+  uint32_t samples = 0;
+  for (const auto& [id, reference] : mReferences) {
+    if (reference.mCohortSamples >= kLearnSamples) {
+      sum += reference.mCohortSum;
+      samples += reference.mCohortSamples;
+    }
+  }
+  for (auto& [id, reference] : mReferences) {
+    if (reference.mCohortSamples >= kLearnSamples) {
+      reference.mLog +=
+        kReferenceGain *
+        (reference.mCohortSum / reference.mCohortSamples - sum / samples);
+    }
+  }
+}
+
 void
 ConcurrencyLimiter::ChooseProbe(TimePoint aNow, const Cohort& aCohort)
 {
@@ -246,20 +293,32 @@
     StartCohort(aNow, LimitRegime::Steady, mLimit);
     return;
   }
-  const double risen = mLevel - mChecked - 2 * std::sqrt(aCohort.Variance());
-  const bool isDeep = !mIsChecked || risen > kRise;
-  if (mLimit > 1 && aNow >= mNextDown) {
-    StartCohort(aNow,
-                LimitRegime::ProbeDown,
-                std::max(1.0, mLimit * (isDeep ? kDeepProbe : kShallowProbe)));
-  } else if (mLimit > 1 && risen > kRise) {
+  const double deviation = std::sqrt(aCohort.Variance());
+  const double change = mLevel - mChecked;
+  if (change < -kRise - 2 * deviation) {
+    // The upstream recovered, so that it may take more.
+    mChecked = mLevel;
+    mIsBounded = false;
+    mNextUp = aNow;
+    mUpStep = std::max(mUpStep, 0.4);
+  }
+  const bool hasRisen =
+    change > kRise + 2 * deviation && aNow >= mNextRiseCheck;
+  const bool isWanted = aCohort.mWaited * 2 >= aCohort.mStarted;
+  if (mLimit > 1 && (hasRisen || (mIsBounded && aNow >= mNextDown))) {
     StartCohort(
-      aNow, LimitRegime::ProbeDown, std::max(1.0, mLimit * kDeepProbe));
-  } else if (aCohort.mWaited * 2 >= aCohort.mStarted && aNow >= mNextUp &&
-             mLimit < Ceiling()) {
-    const double limit =
-      std::max(std::round(mLimit) + 1, mLimit * (1 + mUpStep));
-    StartCohort(aNow, LimitRegime::ProbeUp, std::min(limit, Ceiling()));
+      aNow, LimitRegime::ProbeDown, std::max(1.0, mLimit * kDownProbe));
+  } else if (isWanted && aNow >= mNextUp) {
+    // Noise must not hide the effect of the step.
+    const double step = std::max(mUpStep, std::min(4 * deviation, 0.5));
+    const double limit = std::min(
+      std::max(std::round(mLimit) + 1, mLimit * (1 + step)), Ceiling());
+    if (limit > mLimit * (1 + step / 2)) {
+      StartCohort(aNow, LimitRegime::ProbeUp, limit);
+    } else {
+      mIsBounded = true;
+      StartCohort(aNow, LimitRegime::Steady, mLimit);
+    }
   } else {
     StartCohort(aNow, LimitRegime::Steady, mLimit);
   }
@@ -291,60 +350,74 @@
 void
 ConcurrencyLimiter::JudgeDown(TimePoint aNow, const Cohort& aAfter)
 {
-  const double drop = std::min(mBefore.Mean(), aAfter.Mean()) - mProbe.Mean();
-  const double deviation =
-    std::sqrt(mProbe.Variance() + (mBefore.Variance() + aAfter.Variance()) / 4);
-  const double full =
-    std::log(std::max(1.0, aAfter.MeanInFlight() / mProbe.MeanInFlight()));
-  mIsChecked = true;
-  if (drop > 2 * deviation && drop > 0.15 * full) {
+  const double variance =
+    mProbe.Variance() + (mBefore.Variance() + aAfter.Variance()) / 4;
+  mDropSum += ((mBefore.Mean() + aAfter.Mean()) / 2 - mProbe.Mean()) / variance;
+  mDropWeight += 1 / variance;
+  const double drop = mDropSum / mDropWeight;
+  const double deviation = 1 / std::sqrt(mDropWeight);
+  const double full = std::log(aAfter.mLimit / mProbe.mLimit);
+  if (drop > 2.5 * deviation && drop > 0.15 * full) {
     // The own time is proportional to the calls in flight above the upstream's
-    // capacity and constant below it, so the drop leads to the capacity.
+    // capacity and constant below it, so the drop leads to the capacity. A
+    // limit that is too low costs throughput, one too high only time.
     SetLimit(
-      std::max(mProbe.MeanInFlight(), aAfter.MeanInFlight() * std::exp(-drop)));
-    mLevel = mProbe.Mean();
-    mChecked = mLevel;
+      std::max(mProbe.mLimit, aAfter.mLimit * std::exp(deviation - drop)));
+    mChecked = mProbe.Mean();
     mDownPause = kDownPause;
     mNextDown = drop > 0.8 * full ? aNow : aNow + mDownPause;
-    mIsChecked = drop <= 0.8 * full;
+    mNextRiseCheck = mNextDown;
     mNextUp = aNow + mUpPause;
-  } else {
+  } else if (drop + deviation < 0.5 * full) {
+    // No queue: the upstream is as fast as it is.
     mChecked = aAfter.Mean();
+    mDropSum = 0;
+    mDropWeight = 0;
     // The probe costs a third of the capacity while it lasts; the pauses keep
     // that below two percent.
     const Duration least = 15 * mCohortTime;
     mDownPause = std::max(mDownPause, least);
     mNextDown = aNow + mDownPause;
     mDownPause = std::min(2 * mDownPause, std::max(kLongPause, 4 * least));
+  } else {
+    // If there is a queue, as it seems, the next probe costs nothing.
+    mNextDown = aNow + (drop > 0.5 * full ? 2 : 10) * mCohortTime;
+    mNextRiseCheck = mNextDown;
   }
 }
 
 void
 ConcurrencyLimiter::JudgeUp(TimePoint aNow, const Cohort& aAfter)
 {
-  const double level = (mBefore.Mean() + aAfter.Mean()) / 2;
-  const double deviation =
-    std::sqrt(mProbe.Variance() + (mBefore.Variance() + aAfter.Variance()) / 4);
-  const double low = aAfter.MeanInFlight();
-  const double high = mProbe.MeanInFlight();
+  const double low = aAfter.mLimit;
+  const double high = mProbe.mLimit;
   if (high <= low) {
     mNextUp = aNow + mUpPause;
     return;
   }
-  // As in JudgeDown. Both bounds are equally far, so that noise alone moves the
-  // limit neither way; the deviation is held against an increase.
-  const double estimate =
-    high * std::exp(level - mProbe.Mean() - 0.25 * deviation);
-  const double limit = std::clamp(estimate, low * low / high, high);
-  SetLimit(limit);
-  if (limit > low + 0.4 * (high - low)) {
+  const double variance =
+    mProbe.Variance() + (mBefore.Variance() + aAfter.Variance()) / 4;
+  const double rise = mProbe.Mean() - (mBefore.Mean() + aAfter.Mean()) / 2;
+  const double step = std::log(high / low);
+  constexpr double kMemory = 0.5;
+  mSlopeSum = kMemory * mSlopeSum + step * rise / variance;
+  mSlopeWeight = kMemory * mSlopeWeight + step * step / variance;
+  // As in JudgeDown. A part of the deviation is held against the increase,
+  // since nothing but a later probe would take it back.
+  const double slope =
+    mSlopeSum / mSlopeWeight + 0.25 / std::sqrt(mSlopeWeight);
+  const double estimate = high * std::exp(-slope * step);
+  if (estimate > low + 0.4 * (high - low)) {
+    SetLimit(std::min(estimate, high));
     mUpStep = std::min(2 * mUpStep, kLastUpStep);
     mUpPause = kUpPause;
     mNextUp = aNow;
+    mIsBounded = false;
   } else {
     mUpStep = kFirstUpStep;
     mNextUp = aNow + std::max(mUpPause, 4 * mCohortTime);
-    mUpPause = std::min<Duration>(2 * mUpPause, kDownPause / 2);
+    mUpPause = std::min<Duration>(2 * mUpPause, kDownPause);
+    mIsBounded = true;
   }
 }
 
