Add first version of membership, manifest and the control logic

The control side of a node joins through seeds and static peers, detects failures by SWIM, and takes the manifest from the store and from peers.

--- /dev/null
+++ b/libs/membership/src/MemberTable.cpp
@@ -0,0 +1,173 @@
+#include "membership/MemberTable.h"
+
+#include <algorithm>
+
+#include "base/Hash.h"
+
+namespace amaranthgap {
+
+namespace {
+
+uint64_t
+Mix(uint64_t aValue)
+{
+  aValue = (aValue ^ (aValue >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  aValue = (aValue ^ (aValue >> 27)) * 0x94d049bb133111ebULL;
+  return aValue ^ (aValue >> 31);
+}
+
+} // namespace
+
+// Covers what the node announced of itself; all of that is a function of
+// incarnation and refutation. Suspicions are left out because they pass.
+uint64_t
+MemberTable::HashOf(const MemberUpdate& aUpdate,
+                    uint64_t aIdHash,
+                    bool aPartial)
+{
+  return Mix(aIdHash + Mix(aUpdate.mNode.mIncarnation.mValue) +
+             aUpdate.mRefutation * 0x9e3779b97f4a7c15ULL + (aPartial ? 1 : 0));
+}
+
+uint32_t
+MemberTable::Find(const NodeId& aNode) const
+{
+  const auto it = mIndex.find(aNode);
+  return it == mIndex.end() ? kNone : it->second;
+}
+
+uint32_t
+MemberTable::Add(MemberUpdate aUpdate, bool aPartial, TimePoint aNow)
+{
+  uint32_t index = 0;
+  if (mFree.empty()) {
+    index = uint32_t(mMembers.size());
+    mMembers.emplace_back();
+  } else {
+    index = mFree.back();
+    mFree.pop_back();
+    // The number goes on, so that the update queue cannot mistake an entry
+    // for one of the former member at this index.
+    const uint32_t queued = mMembers[index].mQueued;
+    mMembers[index] = {};
+    mMembers[index].mQueued = queued + 1;
+  }
+  auto& member = mMembers[index];
+  member.mIdHash = Hash64(aUpdate.mNode.mId.mValue);
+  mIndex.emplace(aUpdate.mNode.mId, index);
+  mPages[member.mIdHash % kPages].push_back(index);
+  member.mUpdate.mState = MemberState::Dead;
+  Replace(index, std::move(aUpdate), aPartial, aNow);
+  return index;
+}
+
+void
+MemberTable::Replace(uint32_t aIndex,
+                     MemberUpdate aUpdate,
+                     bool aPartial,
+                     TimePoint aNow)
+{
+  auto& member = mMembers[aIndex];
+  Count(member, false);
+  if (member.mUpdate.mState != aUpdate.mState ||
+      member.mUpdate.mNode != aUpdate.mNode) {
+    member.mSince = aNow;
+  }
+  if (!IsAccusation(aUpdate.mState)) {
+    member.mAnnounced = aUpdate.mState;
+  } else if (member.mUpdate.mNode != aUpdate.mNode) {
+    member.mAnnounced =
+      aUpdate.mService.empty() ? MemberState::Joined : MemberState::Warm;
+  }
+  member.mUpdate = std::move(aUpdate);
+  member.mPartial = aPartial;
+  Count(member, true);
+  SetLive(aIndex, IsLive(member.mUpdate.mState));
+}
+
+void
+MemberTable::Count(const Member& aMember, bool aAdd)
+{
+  if (!IsLive(aMember.mUpdate.mState)) {
+    return;
+  }
+  const uint64_t hash =
+    HashOf(aMember.mUpdate, aMember.mIdHash, aMember.mPartial);
+  const uint64_t change = aAdd ? hash : 0 - hash;
+  mPageDigests[aMember.mIdHash % kPages] += change;
+  mDigest += change;
+}
+
+void
+MemberTable::SetLive(uint32_t aIndex, bool aLive)
+{
+  auto& member = mMembers[aIndex];
+  if (aLive == (member.mLivePosition != Member::kNoPosition)) {
+    return;
+  }
+  if (aLive) {
+    member.mLivePosition = uint32_t(mLive.size());
+    mLive.push_back(aIndex);
+    return;
+  }
+  const uint32_t last = mLive.back();
+  mLive[member.mLivePosition] = last;
+  mMembers[last].mLivePosition = member.mLivePosition;
+  mLive.pop_back();
+  member.mLivePosition = Member::kNoPosition;
+}
+
+void
+MemberTable::Forget(TimePoint aBefore)
+{
+  for (uint32_t i = 0; i < mMembers.size(); ++i) {
+    auto& member = mMembers[i];
+    if (member.mUpdate.mNode.mId.IsEmpty() || IsLive(member.mUpdate.mState) ||
+        member.mSince >= aBefore) {
+      continue;
+    }
+    std::erase(mPages[member.mIdHash % kPages], i);
+    mIndex.erase(member.mUpdate.mNode.mId);
+    const uint32_t queued = member.mQueued;
+    member = {};
+    member.mQueued = queued + 1;
+    mFree.push_back(i);
+  }
+}
+
+std::vector<uint32_t>
+MemberTable::Dead() const
+{
+  std::vector<uint32_t> dead;
+  for (uint32_t i = 0; i < mMembers.size(); ++i) {
+    const auto& update = mMembers[i].mUpdate;
+    if (update.mState == MemberState::Dead && !update.mPeerAddress.empty()) {
+      dead.push_back(i);
+    }
+  }
+  return dead;
+}
+
+std::vector<uint32_t>
+MemberTable::Pick(size_t aCount, Rng& aRng) const
+{
+  std::vector<uint32_t> picked;
+  if (mLive.size() <= aCount) {
+    return mLive;
+  }
+  while (picked.size() < aCount) {
+    const uint32_t index = mLive[aRng.Below(mLive.size())];
+    if (std::find(picked.begin(), picked.end(), index) == picked.end()) {
+      picked.push_back(index);
+    }
+  }
+  return picked;
+}
+
+std::vector<uint32_t>
+MemberTable::Page(uint32_t aPage) const
+{
+  return mPages[aPage % kPages];
+}
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/membership/src/Membership.cpp
@@ -0,0 +1,250 @@
+#include "membership/Membership.h"
+
+#include <algorithm>
+
+namespace amaranthgap {
+
+namespace {
+
+/** A gap between ticks above this is a pause of the process. Ticks come every
+ * 10 to 20 ms; shorter gaps are ordinary scheduling delays. */
+constexpr Duration kPause = milliseconds(700);
+
+/** A resumed node that hears from no one for this long is on its own, not
+ * stale: it was the peers that went away. */
+constexpr Duration kStaleLimit = seconds(3);
+
+/** Members told directly by a leaving node. Gossip reaches the others in a few
+ * rounds; from one sender it would need two rounds more. */
+constexpr size_t kToldDirectly = 24;
+
+} // namespace
+
+Membership::Membership(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mRng(mOptions.mSeed)
+  , mSelf(mOptions.mSelf)
+{
+}
+
+void
+Membership::Tick(TimePoint aNow, PeerOutput& aOut)
+{
+  if (!mTicked) {
+    mTicked = true;
+    mLastTick = aNow;
+    mPageBytesAt = aNow;
+    mNextProbe =
+      aNow + FromSeconds(mRng.Uniform() * ToSeconds(mOptions.mProbePeriod));
+    mNextGossip = aNow;
+    mNextDeadProbe = aNow + seconds(5);
+    mNextForget = aNow + minutes(1);
+  }
+  const Duration gap = aNow - mLastTick;
+  mLastTick = aNow;
+  if (gap > kPause && mOptions.mDetectPause) {
+    ResumeAfterPause(aNow, gap, aOut);
+  }
+  if (mStale && (aNow >= mStaleUntil || mTable.Live().empty())) {
+    mStale = false;
+  }
+  if (!mAnnounced || mSuperseded || mSelf.mState == MemberState::Left) {
+    return;
+  }
+  CheckRelays(aNow, aOut);
+  CheckProbe(aNow, aOut);
+  CheckSuspicions(aNow, aOut);
+  if (!mProbe && aNow >= mNextProbe) {
+    StartProbe(aNow, aOut);
+  }
+  if (mOptions.mProbeDead) {
+    ProbeDead(aNow, aOut);
+  }
+  if (aNow >= mNextGossip) {
+    Gossip(aNow, aOut);
+  }
+  if (aNow >= mNextForget) {
+    mNextForget = aNow + minutes(1);
+    mTable.Forget(aNow - mOptions.mRetention);
+  }
+}
+
+void
+Membership::ResumeAfterPause(TimePoint aNow, Duration aPause, PeerOutput& aOut)
+{
+  // Deadlines that passed during the pause say nothing about the peers.
+  mProbe.reset();
+  mPastProbes.clear();
+  mRelays.clear();
+  for (auto& [index, suspicion] : mSuspicions) {
+    suspicion.mUntil += aPause;
+  }
+  mNextProbe = aNow;
+  mDiffers = false;
+  if (mAnnounced && aPause > mOptions.mSuspicion && !mTable.Live().empty()) {
+    mStale = true;
+    mStaleUntil = aNow + kStaleLimit;
+    aOut.mAudit.push_back({ .mKind = AuditKind::MemberState,
+                            .mSubject = mSelf.mNode.mId.mValue,
+                            .mCause = "resumed after a pause of " +
+                                      std::to_string(ToMillis(aPause)) +
+                                      " ms; asking peers",
+                            .mPeer = {} });
+    for (const uint32_t index : mTable.Pick(3, mRng)) {
+      SendPing(index, ++mLastProbe, aOut);
+    }
+  }
+}
+
+bool
+Membership::MessageArrived(TimePoint aNow,
+                           const Envelope& aEnvelope,
+                           PeerOutput& aOut)
+{
+  if (mSuperseded || mSelf.mState == MemberState::Left ||
+      !CheckSender(aNow, aEnvelope, aOut)) {
+    return false;
+  }
+  const auto applyAll = [&](const std::vector<MemberUpdate>& aUpdates) {
+    for (const auto& update : aUpdates) {
+      Apply(aNow, update, aEnvelope, true, aOut);
+    }
+  };
+  const auto& message = aEnvelope.mMessage;
+  if (const auto* ping = std::get_if<Ping>(&message)) {
+    applyAll(ping->mUpdates);
+    HandlePing(aEnvelope, *ping, aOut);
+    NoteDigest(aNow, aEnvelope, ping->mMembersDigest, aOut);
+  } else if (const auto* ack = std::get_if<Ack>(&message)) {
+    applyAll(ack->mUpdates);
+    HandleAck(aNow, aEnvelope, *ack, aOut);
+    if (!ack->mNotReached) {
+      NoteDigest(aNow, aEnvelope, ack->mMembersDigest, aOut);
+    }
+  } else if (const auto* request = std::get_if<PingRequest>(&message)) {
+    HandlePingRequest(aNow, aEnvelope, *request, aOut);
+  } else if (const auto* updates = std::get_if<MemberUpdates>(&message)) {
+    applyAll(updates->mUpdates);
+  } else if (const auto* digest = std::get_if<MemberDigest>(&message)) {
+    HandleDigest(aNow, aEnvelope, *digest, aOut);
+  } else if (const auto* page = std::get_if<MemberPage>(&message)) {
+    HandlePage(aNow, aEnvelope, *page, aOut);
+  }
+  return true;
+}
+
+void
+Membership::PeerLost(TimePoint aNow, const NodeRef& aPeer)
+{
+  const uint32_t index = mTable.Find(aPeer.mId);
+  if (index == MemberTable::kNone || mTable.At(index).mUpdate.mNode != aPeer ||
+      mTable.At(index).mUpdate.mState == MemberState::Suspect ||
+      !IsLive(mTable.At(index).mUpdate.mState) ||
+      std::find(mProbeFirst.begin(), mProbeFirst.end(), index) !=
+        mProbeFirst.end()) {
+    return;
+  }
+  // Several broken streams in a row are probed one period apart, so that the
+  // load of probing stays constant.
+  if (mProbeFirst.size() < 16) {
+    mProbeFirst.push_back(index);
+    mNextProbe = std::min(mNextProbe, aNow + mOptions.mProbePeriod / 4);
+  }
+}
+
+void
+Membership::Announce(TimePoint aNow, PeerOutput& aOut)
+{
+  mAnnounced = true;
+  mNextProbe =
+    aNow + FromSeconds(mRng.Uniform() * ToSeconds(mOptions.mProbePeriod));
+  ChangeSelf(aOut, "announced");
+  SendUpdates(3, aOut);
+}
+
+void
+Membership::SetUpstream(TimePoint /*aNow*/,
+                        const std::string& aService,
+                        uint32_t aSlots,
+                        uint32_t aWarmUpMs,
+                        PeerOutput& aOut)
+{
+  const auto state = aService.empty() ? MemberState::Joined : MemberState::Warm;
+  const bool sameState =
+    mSelf.mState == state || mSelf.mState == MemberState::Leaving;
+  if (mSelf.mState == MemberState::Left ||
+      (sameState && mSelf.mService == aService && mSelf.mSlots == aSlots &&
+       mSelf.mWarmUpMs == aWarmUpMs)) {
+    return;
+  }
+  mSelf.mService = aService;
+  mSelf.mSlots = aSlots;
+  mSelf.mWarmUpMs = aWarmUpMs;
+  if (mSelf.mState != MemberState::Leaving) {
+    mSelf.mState = state;
+  }
+  ChangeSelf(aOut,
+             aService.empty() ? "upstream gone" : "upstream of " + aService);
+  if (mAnnounced) {
+    SendUpdates(3, aOut);
+  }
+}
+
+void
+Membership::Leave(TimePoint /*aNow*/, PeerOutput& aOut)
+{
+  if (mSelf.mState == MemberState::Leaving ||
+      mSelf.mState == MemberState::Left) {
+    return;
+  }
+  mSelf.mState = MemberState::Leaving;
+  ChangeSelf(aOut, "leaving");
+  if (mAnnounced) {
+    SendUpdates(kToldDirectly, aOut);
+  }
+}
+
+void
+Membership::Left(TimePoint /*aNow*/, PeerOutput& aOut)
+{
+  if (mSelf.mState == MemberState::Left) {
+    return;
+  }
+  mSelf.mState = MemberState::Left;
+  ChangeSelf(aOut, "left");
+  if (mAnnounced) {
+    SendUpdates(kToldDirectly, aOut);
+  }
+}
+
+void
+Membership::ChangeSelf(PeerOutput& aOut, const std::string& aCause)
+{
+  ++mSelf.mRefutation;
+  ++mChanges;
+  mSelfSends = Repeats();
+  aOut.mAudit.push_back(
+    { .mKind = AuditKind::MemberState,
+      .mSubject = mSelf.mNode.mId.mValue,
+      .mCause =
+        "this node is " + std::string(ToName(mSelf.mState)) + ": " + aCause,
+      .mPeer = {} });
+}
+
+void
+Membership::Send(uint32_t aIndex, Message aMessage, PeerOutput& aOut) const
+{
+  const auto& update = mTable.At(aIndex).mUpdate;
+  aOut.mSends.push_back({ .mTo = update.mNode,
+                          .mAddress = update.mPeerAddress,
+                          .mDatagram = true,
+                          .mMessage = std::move(aMessage) });
+}
+
+std::string
+Membership::NameOf(uint32_t aIndex) const
+{
+  return mTable.At(aIndex).mUpdate.mNode.mId.mValue;
+}
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/membership/src/MembershipProbe.cpp
@@ -0,0 +1,325 @@
+#include "membership/Membership.h"
+
+#include <algorithm>
+
+namespace amaranthgap {
+
+namespace {
+
+constexpr size_t kHelpers = 3;
+
+/** Widest timeouts are nine times the normal ones. */
+constexpr uint32_t kMaxMissed = 8;
+
+/** Longest wait for a member known to be slow. */
+constexpr Duration kSlowestAnswer = seconds(4);
+
+/** An outage of a data centre is assumed after this many suspicions within the
+ * window; half of the probes then go there, since with random targets the last
+ * of 820 lost members would be found only after about 8 s. */
+constexpr size_t kOutageFailures = 3;
+constexpr Duration kOutageWindow = seconds(8);
+
+/** Dead members are contacted at this period, so that partitioned regions find
+ * each other again. */
+constexpr Duration kDeadProbePeriod = seconds(10);
+
+/** Members that a peer's page shows as live are asked at this period. */
+constexpr Duration kRecheckPeriod = milliseconds(250);
+
+constexpr size_t kMaxRelays = 64;
+constexpr size_t kPastProbes = 8;
+
+} // namespace
+
+uint32_t
+Membership::NextTarget(TimePoint aNow)
+{
+  const auto usable = [&](uint32_t aIndex) {
+    const auto state = mTable.At(aIndex).mUpdate.mState;
+    return IsLive(state) && state != MemberState::Suspect;
+  };
+  while (!mProbeFirst.empty()) {
+    const uint32_t index = mProbeFirst.front();
+    mProbeFirst.pop_front();
+    if (usable(index)) {
+      return index;
+    }
+  }
+  if (mOptions.mFollowOutages && mRng.Below(2) == 0) {
+    for (auto& [dataCentre, failures] : mFailures) {
+      while (!failures.empty() && aNow - failures.front() > kOutageWindow) {
+        failures.pop_front();
+      }
+      if (failures.size() < kOutageFailures) {
+        continue;
+      }
+      for (const uint32_t index : mTable.Pick(20, mRng)) {
+        if (mTable.At(index).mUpdate.mDataCentre == dataCentre &&
+            usable(index)) {
+          return index;
+        }
+      }
+    }
+  }
+  // Each round visits all members once in a new random order, which bounds the
+  // time until any one node probes a given member.
+  for (int round = 0; round < 2; ++round) {
+    while (mOrderNext < mOrder.size()) {
+      const uint32_t index = mOrder[mOrderNext++];
+      if (usable(index)) {
+        return index;
+      }
+    }
+    mOrder = mTable.Live();
+    mOrderNext = 0;
+    for (size_t i = mOrder.size(); i > 1; --i) {
+      std::swap(mOrder[i - 1], mOrder[mRng.Below(i)]);
+    }
+  }
+  return MemberTable::kNone;
+}
+
+void
+Membership::StartProbe(TimePoint aNow, PeerOutput& aOut)
+{
+  const uint32_t factor = TimeoutFactor();
+  mNextProbe = aNow + mOptions.mProbePeriod * factor;
+  const uint32_t index = NextTarget(aNow);
+  if (index == MemberTable::kNone) {
+    return;
+  }
+  const auto& member = mTable.At(index);
+  const Duration roundTrip = FromSeconds(member.mRoundTripMs / 1000);
+  const Duration direct = std::max<Duration>(
+    mOptions.mDirectTimeout * factor, std::min(kSlowestAnswer, roundTrip * 2));
+  const Duration whole = std::max<Duration>(
+    mOptions.mProbePeriod * factor, direct + mOptions.mDirectTimeout * 2);
+  mProbe = Probe{ .mNumber = ++mLastProbe,
+                  .mIndex = index,
+                  .mNode = member.mUpdate.mNode,
+                  .mSent = aNow,
+                  .mDirectUntil = aNow + direct,
+                  .mUntil = aNow + whole };
+  SendPing(index, mProbe->mNumber, aOut);
+}
+
+void
+Membership::SendPing(uint32_t aIndex, uint64_t aNumber, PeerOutput& aOut)
+{
+  const auto& update = mTable.At(aIndex).mUpdate;
+  // An accused member learns of it here and can refute at once.
+  const MemberUpdate accusation = ForGossip(update);
+  Send(aIndex,
+       Ping{ .mProbe = aNumber,
+             .mManifest = mStamp,
+             .mMembersDigest = Digest(),
+             .mUpdates = TakeUpdates(IsAccusation(update.mState) ? &accusation
+                                                                 : nullptr) },
+       aOut);
+}
+
+void
+Membership::CheckProbe(TimePoint aNow, PeerOutput& aOut)
+{
+  if (!mProbe) {
+    return;
+  }
+  auto& probe = *mProbe;
+  const auto& update = mTable.At(probe.mIndex).mUpdate;
+  if (update.mNode != probe.mNode || !IsLive(update.mState)) {
+    mProbe.reset(); // Replaced or gone meanwhile.
+    return;
+  }
+  if (!probe.mAsked && aNow >= probe.mDirectUntil) {
+    probe.mAsked = true;
+    if (mOptions.mIndirectProbes) {
+      for (const uint32_t helper : mTable.Pick(kHelpers + 1, mRng)) {
+        if (helper != probe.mIndex) {
+          Send(helper,
+               PingRequest{ .mProbe = probe.mNumber,
+                            .mNode = update.mNode,
+                            .mPeerAddress = update.mPeerAddress },
+               aOut);
+        }
+      }
+    }
+  }
+  if (aNow < probe.mUntil) {
+    return;
+  }
+  // When not even the helpers answer, the fault may be on this side.
+  if (!probe.mHelperAnswered) {
+    mMissed = std::min(mMissed + 1, kMaxMissed);
+  }
+  mPastProbes.push_back(probe);
+  if (mPastProbes.size() > kPastProbes) {
+    mPastProbes.pop_front();
+  }
+  const uint32_t index = probe.mIndex;
+  mProbe.reset();
+  if (mTable.At(index).mUpdate.mState != MemberState::Suspect) {
+    Suspect(aNow, index, mSelf.mNode.mId.mValue, true, aOut);
+    Challenge(aNow, index, aOut);
+  }
+}
+
+void
+Membership::CheckRelays(TimePoint aNow, PeerOutput& aOut)
+{
+  for (auto it = mRelays.begin(); it != mRelays.end();) {
+    if (aNow < it->second.mUntil) {
+      ++it;
+      continue;
+    }
+    aOut.mSends.push_back(
+      { .mTo = it->second.mRequester,
+        .mAddress = it->second.mAddress,
+        .mDatagram = true,
+        .mMessage = Ack{ .mProbe = it->second.mProbe, .mNotReached = true } });
+    it = mRelays.erase(it);
+  }
+}
+
+void
+Membership::CheckSuspicions(TimePoint aNow, PeerOutput& aOut)
+{
+  std::vector<std::pair<uint32_t, std::string>> expired;
+  for (const auto& [index, suspicion] : mSuspicions) {
+    if (aNow >= suspicion.mUntil) {
+      expired.emplace_back(index, suspicion.mAccuser);
+    }
+  }
+  for (const auto& [index, accuser] : expired) {
+    auto update = mTable.At(index).mUpdate;
+    update.mState = MemberState::Dead;
+    Set(
+      aNow, index, std::move(update), "did not refute in time", accuser, aOut);
+    // Every node runs the same timer; one round covers those that missed the
+    // suspicion.
+    Enqueue(index, 3);
+  }
+}
+
+void
+Membership::ProbeDead(TimePoint aNow, PeerOutput& aOut)
+{
+  if (aNow >= mNextDeadProbe) {
+    mNextDeadProbe =
+      aNow + FromSeconds(ToSeconds(kDeadProbePeriod) * mRng.Uniform(0.5, 1.5));
+    if (const auto dead = mTable.Dead(); !dead.empty()) {
+      SendPing(dead[mRng.Below(dead.size())], ++mLastProbe, aOut);
+    }
+  }
+  if (!mRecheck.empty() && aNow >= mNextRecheck) {
+    mNextRecheck = aNow + kRecheckPeriod;
+    const uint32_t index = mRecheck.front();
+    mRecheck.pop_front();
+    if (mTable.At(index).mUpdate.mState == MemberState::Dead &&
+        !mTable.At(index).mUpdate.mPeerAddress.empty()) {
+      SendPing(index, ++mLastProbe, aOut);
+    }
+  }
+}
+
+void
+Membership::HandlePing(const Envelope& aFrom,
+                       const Ping& aPing,
+                       PeerOutput& aOut)
+{
+  if (!mAnnounced) {
+    return;
+  }
+  const uint32_t index = mTable.Find(aFrom.mFrom.mId);
+  MemberUpdate accusation;
+  const MemberUpdate* first = nullptr;
+  if (index != MemberTable::kNone &&
+      mTable.At(index).mUpdate.mNode == aFrom.mFrom &&
+      IsAccusation(mTable.At(index).mUpdate.mState)) {
+    accusation = ForGossip(mTable.At(index).mUpdate);
+    first = &accusation;
+  }
+  aOut.mSends.push_back({ .mTo = aFrom.mFrom,
+                          .mAddress = aFrom.mFromAddress,
+                          .mDatagram = true,
+                          .mMessage = Ack{ .mProbe = aPing.mProbe,
+                                           .mManifest = mStamp,
+                                           .mMembersDigest = Digest(),
+                                           .mUpdates = TakeUpdates(first) } });
+}
+
+void
+Membership::HandleAck(TimePoint aNow,
+                      const Envelope& aFrom,
+                      const Ack& aAck,
+                      PeerOutput& aOut)
+{
+  mStale = false;
+  if (const auto relay = mRelays.find(aAck.mProbe); relay != mRelays.end()) {
+    if (!aAck.mNotReached) {
+      aOut.mSends.push_back({ .mTo = relay->second.mRequester,
+                              .mAddress = relay->second.mAddress,
+                              .mDatagram = true,
+                              .mMessage = Ack{ .mProbe = relay->second.mProbe,
+                                               .mManifest = mStamp,
+                                               .mMembersDigest = Digest() } });
+    }
+    mRelays.erase(relay);
+    return;
+  }
+  if (mProbe && mProbe->mNumber == aAck.mProbe) {
+    if (aAck.mNotReached) {
+      mProbe->mHelperAnswered = true;
+      return;
+    }
+    if (mMissed > 0) {
+      --mMissed;
+    }
+    auto& member = mTable.At(mProbe->mIndex);
+    const auto millis = float(ToSeconds(aNow - mProbe->mSent) * 1000);
+    if (aFrom.mFrom == mProbe->mNode) {
+      member.mRoundTripMs = std::max(millis, member.mRoundTripMs * 0.75F);
+    }
+    mProbe.reset();
+    return;
+  }
+  // An answer after the deadline: the member is slow, not gone. The next probe
+  // waits longer for it.
+  for (const auto& probe : mPastProbes) {
+    if (probe.mNumber == aAck.mProbe && probe.mNode == aFrom.mFrom) {
+      auto& member = mTable.At(probe.mIndex);
+      if (member.mUpdate.mNode == probe.mNode) {
+        member.mRoundTripMs = std::max(
+          member.mRoundTripMs, float(ToSeconds(aNow - probe.mSent) * 1000));
+      }
+      return;
+    }
+  }
+}
+
+void
+Membership::HandlePingRequest(TimePoint aNow,
+                              const Envelope& aFrom,
+                              const PingRequest& aRequest,
+                              PeerOutput& aOut)
+{
+  if (!mAnnounced || mRelays.size() >= kMaxRelays) {
+    return;
+  }
+  const uint64_t number = ++mLastProbe;
+  mRelays.emplace(number,
+                  Relay{ .mRequester = aFrom.mFrom,
+                         .mAddress = aFrom.mFromAddress,
+                         .mProbe = aRequest.mProbe,
+                         .mUntil = aNow + mOptions.mDirectTimeout });
+  aOut.mSends.push_back(
+    { .mTo = aRequest.mNode,
+      .mAddress = aRequest.mPeerAddress,
+      .mDatagram = true,
+      .mMessage = Ping{ .mProbe = number,
+                        .mManifest = mStamp,
+                        .mMembersDigest = Digest(),
+                        .mUpdates = TakeUpdates(nullptr) } });
+}
+
+} // namespace amaranthgap
--- a/libs/node/include/node/ControlLogic.h
+++ b/libs/node/include/node/ControlLogic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,25 @@
 class ControlLogic
 {
 public:
+  /** Mechanisms that tests switch off to show that they are needed. */
+  struct Switches
+  {
+    bool mIndirectProbes = true;
+    bool mRefute = true;
+    bool mWidenTimeouts = true;
+    bool mDetectPause = true;
+    bool mSuspectFirst = true;
+    bool mProbeDead = true;
+    bool mPushPull = true;
+    bool mFollowOutages = true;
+    bool mRumors = true;
+    bool mPulls = true;
+    bool mCheckVersion = true;
+    bool mCheckDigest = true;
+    bool mElectWatchers = true; ///< Off: every node watches the store.
+    bool mAskPeers = true;      ///< Off: a new node asks only the store.
+  };
+
   struct Options
   {
     NodeRef mSelf;
@@ -24,9 +44,13 @@
     std::vector<std::string> mStaticPeers;
     bool mHasStore = true;
     uint64_t mSeed = 1;
+    Switches mSwitches{};
   };
 
   explicit ControlLogic(Options aOptions);
+  ~ControlLogic();
+  ControlLogic(ControlLogic&& aOther) noexcept;
+  ControlLogic& operator=(ControlLogic&& aOther) noexcept;
 
   /** Takes a message of membership or manifest. */
   void MessageArrived(TimePoint aNow,
@@ -62,6 +86,12 @@
   [[nodiscard]] MemberListPtr TakeMembers();
   [[nodiscard]] ManifestStamp Stamp() const;
   [[nodiscard]] std::vector<MemberUpdate> Members() const;
+  /** @return whether this node watches the store for its data centre. */
+  [[nodiscard]] bool IsWatcher() const;
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> mParts;
 };
 
 } // namespace amaranthgap
--- /dev/null
+++ b/libs/node/src/JoinLogic.cpp
@@ -0,0 +1,267 @@
+#include "JoinLogic.h"
+
+#include <algorithm>
+
+namespace amaranthgap {
+
+namespace {
+
+constexpr Duration kContactPeriod = milliseconds(500);
+constexpr size_t kContacts = 3;
+
+/** Rounds without any answer after which the listed seeds count as gone. */
+constexpr uint32_t kGoneRounds = 8;
+
+/** Nodes that start together answer each other before they are members; after
+ * this time without an answer from a member there is none. */
+constexpr Duration kJoiningOnly = seconds(3);
+
+/** A node without a store and without an answer from its peers says on the
+ * audit trail after this time why it is not ready. */
+constexpr Duration kReport = seconds(2);
+
+constexpr Duration kRefreshPeriod = seconds(30);
+constexpr Duration kAlonePeriod = seconds(10);
+
+} // namespace
+
+JoinLogic::JoinLogic(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mRng(mOptions.mSeed)
+{
+}
+
+std::string
+JoinLogic::Key() const
+{
+  return mScope == Scope::DataCentre ? "seeds/" + mOptions.mDataCentre
+                                     : "seeds-fleet";
+}
+
+void
+JoinLogic::NextScope(TimePoint aNow, Duration aPause)
+{
+  mScope = mScope == Scope::DataCentre ? Scope::Fleet : Scope::DataCentre;
+  mNextRead = aNow + FromSeconds(ToSeconds(aPause) * mRng.Uniform(0.5, 1.5));
+}
+
+void
+JoinLogic::Tick(TimePoint aNow,
+                Membership& aMembership,
+                StoreCalls& aStore,
+                bool aWatcher,
+                PeerOutput& aOut,
+                Actions& aActions)
+{
+  if (!mStarted) {
+    mStarted = true;
+    mStart = aNow;
+    mNextContact = aNow;
+    // Spreads the reads of a fleet that starts at once over half a second.
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0, 0.5));
+  }
+  for (const auto& address : mUnknown) {
+    aMembership.JoinVia(aNow, address, aOut);
+  }
+  mUnknown.clear();
+  const bool alone = aMembership.Table().Live().empty();
+  if ((!mOver || alone) && aNow >= mNextContact) {
+    Contact(aNow, aMembership, aOut);
+  }
+  if (!mOver) {
+    CheckOver(aNow, aMembership, aStore, aOut);
+  }
+  if (mOptions.mHasStore && aNow >= mNextRead && aStore.MayCall(aNow) &&
+      !aStore.IsPending(StoreCalls::Purpose::SeedsRead) &&
+      !aStore.IsPending(StoreCalls::Purpose::SeedsWrite) &&
+      (!mOver || alone || aWatcher || !Current().mRead)) {
+    mNextRead = aNow + kRefreshPeriod;
+    aStore.Start(aNow,
+                 StoreCalls::Purpose::SeedsRead,
+                 { .mOperation = StoreOperation::Read, .mKey = Key() },
+                 aActions);
+  }
+}
+
+std::vector<std::string>
+JoinLogic::Candidates() const
+{
+  std::vector<std::string> all = mOptions.mStaticPeers;
+  for (const auto& known : mKnown) {
+    all.insert(all.end(),
+               known.mSeeds.mAddresses.begin(),
+               known.mSeeds.mAddresses.end());
+  }
+  std::sort(all.begin(), all.end());
+  all.erase(std::unique(all.begin(), all.end()), all.end());
+  std::erase(all, mOptions.mAddress);
+  return all;
+}
+
+void
+JoinLogic::Contact(TimePoint aNow, Membership& aMembership, PeerOutput& aOut)
+{
+  auto addresses = Candidates();
+  if (addresses.empty()) {
+    mNextContact = aNow + kContactPeriod / 5;
+    return;
+  }
+  mNextContact = aNow + (mOver ? kAlonePeriod : kContactPeriod);
+  if (!aMembership.HasContact()) {
+    ++mUnanswered;
+  }
+  // Members learned from pages that a peer could not complete.
+  for (const uint32_t index : aMembership.PickLive(1)) {
+    addresses.push_back(aMembership.Table().At(index).mUpdate.mPeerAddress);
+  }
+  for (size_t i = 0; i < kContacts && !addresses.empty(); ++i) {
+    const size_t pick = mRng.Below(addresses.size());
+    aMembership.JoinVia(aNow, addresses[pick], aOut);
+    addresses.erase(addresses.begin() + std::ptrdiff_t(pick));
+  }
+}
+
+void
+JoinLogic::CheckOver(TimePoint aNow,
+                     const Membership& aMembership,
+                     const StoreCalls& aStore,
+                     PeerOutput& aOut)
+{
+  if (aMembership.IsSynchronised()) {
+    mOver = true;
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0.2, 2));
+    return;
+  }
+  if (aMembership.HasContact() && mContactSince == TimePoint{}) {
+    mContactSince = aNow;
+  }
+  const bool onlyJoining =
+    mContactSince != TimePoint{} && aNow - mContactSince >= kJoiningOnly;
+  const bool listed = !Candidates().empty();
+  const bool unanswered = !listed || mUnanswered >= kGoneRounds;
+  const bool storeRead = mKnown[0].mRead && mKnown[1].mRead;
+  const bool noOne = !aMembership.HasContact() && unanswered &&
+                     (mOptions.mHasStore ? storeRead : !listed);
+  if (onlyJoining || noOne) {
+    mOver = true;
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0.2, 2));
+    return;
+  }
+  if (!mReported && aNow - mStart >= kReport && !aMembership.HasContact() &&
+      (!mOptions.mHasStore || aStore.IsDown())) {
+    mReported = true;
+    aOut.mAudit.push_back(
+      { .mKind = AuditKind::MemberState,
+        .mSubject = aMembership.Self().mNode.mId.mValue,
+        .mCause = mOptions.mStaticPeers.empty()
+                    ? "not ready: store not reachable and no static peers"
+                    : "not ready: neither store nor static peers answer",
+        .mPeer = "store" });
+  }
+}
+
+void
+JoinLogic::SeedsRead(TimePoint aNow,
+                     const StoreAnswer& aAnswer,
+                     const Membership& aMembership,
+                     StoreCalls& aStore,
+                     Actions& aActions)
+{
+  if (aAnswer.mVerdict != StoreVerdict::Done) {
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0.5, 1.5));
+    return;
+  }
+  auto& known = Current();
+  known.mSeeds = SeedList::Parse(aAnswer.mCurrent.mValue);
+  known.mRevision = aAnswer.mCurrent.mRevision;
+  if (known.mSeeds.mAddresses.empty() && !mSeenEmpty) {
+    // A whole fleet may be starting: a random pause lets a few write first.
+    mSeenEmpty = true;
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0.1, 2));
+    return;
+  }
+  known.mRead = true;
+  if (mOver) {
+    FindUnknown(known.mSeeds, aMembership);
+  }
+  if (!mOver && known.mSeeds.Contains(mOptions.mAddress) &&
+      known.mSeeds.mAddresses.size() > 1) {
+    NextScope(aNow, milliseconds(500));
+    return;
+  }
+  Write(aNow, aMembership, aStore, aActions);
+}
+
+void
+JoinLogic::FindUnknown(const SeedList& aSeeds, const Membership& aMembership)
+{
+  std::set<std::string> known{ mOptions.mAddress };
+  aMembership.Table().ForEach(
+    [&](const Member& aMember) { known.insert(aMember.mUpdate.mPeerAddress); });
+  for (const auto& address : aSeeds.mAddresses) {
+    if (!known.contains(address)) {
+      mUnknown.push_back(address);
+    }
+  }
+}
+
+void
+JoinLogic::Write(TimePoint aNow,
+                 const Membership& aMembership,
+                 StoreCalls& aStore,
+                 Actions& aActions)
+{
+  auto& known = Current();
+  std::set<std::string> live{ mOptions.mAddress };
+  for (const uint32_t index : aMembership.Table().Live()) {
+    live.insert(aMembership.Table().At(index).mUpdate.mPeerAddress);
+  }
+  SeedList seeds = known.mSeeds;
+  if (mOver) {
+    // Only now is it known which of the listed addresses still belong to
+    // members.
+    std::erase_if(seeds.mAddresses, [&](const std::string& aAddress) {
+      return !live.contains(aAddress);
+    });
+  } else if (mUnanswered >= kGoneRounds && !aMembership.HasContact() &&
+             seeds.mAddresses.size() >= SeedList::kMaxSeeds) {
+    seeds.mAddresses.erase(seeds.mAddresses.begin());
+  }
+  const auto state = aMembership.Self().mState;
+  if (!seeds.Contains(mOptions.mAddress) &&
+      seeds.mAddresses.size() < SeedList::kMaxSeeds && IsLive(state) &&
+      state != MemberState::Leaving &&
+      (mOver || seeds.mAddresses.empty() || mUnanswered >= kGoneRounds)) {
+    seeds.mAddresses.push_back(mOptions.mAddress);
+  }
+  if (seeds.mAddresses == known.mSeeds.mAddresses) {
+    NextScope(aNow, mOver ? kRefreshPeriod : Duration(milliseconds(500)));
+    return;
+  }
+  known.mSeeds = seeds;
+  aStore.Start(aNow,
+               StoreCalls::Purpose::SeedsWrite,
+               { .mOperation = StoreOperation::CompareAndSwap,
+                 .mKey = Key(),
+                 .mValue = seeds.ToText(),
+                 .mRevision = known.mRevision },
+               aActions);
+}
+
+void
+JoinLogic::SeedsWritten(TimePoint aNow, const StoreAnswer& aAnswer)
+{
+  if (aAnswer.mVerdict == StoreVerdict::Done) {
+    NextScope(aNow, mOver ? kRefreshPeriod : Duration(milliseconds(100)));
+    return;
+  }
+  if (aAnswer.mVerdict == StoreVerdict::Conflict) {
+    Current().mSeeds = SeedList::Parse(aAnswer.mCurrent.mValue);
+    NextScope(aNow, mOver ? kRefreshPeriod : Duration(milliseconds(500)));
+    return;
+  }
+  // Unclear: the next read shows whether it took effect.
+  mNextRead = aNow + FromSeconds(mRng.Uniform(1, 3));
+}
+
+} // namespace amaranthgap
--- a/libs/wire/include/wire/Messages.h
+++ b/libs/wire/include/wire/Messages.h
@@ -249,8 +249,10 @@
   ManifestStamp mManifest;
   uint64_t mMembersDigest = 0;
   std::vector<MemberUpdate> mUpdates;
+  /** Set by a helper that got no answer from the member either. */
+  bool mNotReached = false;
 
-  MSGPACK_DEFINE(mProbe, mManifest, mMembersDigest, mUpdates)
+  MSGPACK_DEFINE(mProbe, mManifest, mMembersDigest, mUpdates, mNotReached)
 };
 
 /** Asks a member to probe another one on behalf of the sender. */
@@ -276,8 +278,9 @@
 {
   std::vector<uint64_t> mPages;
   bool mReply = false;
+  bool mJoining = false; ///< The sender is not a member yet.
 
-  MSGPACK_DEFINE(mPages, mReply)
+  MSGPACK_DEFINE(mPages, mReply, mJoining)
 };
 
 struct MemberPage
@@ -300,6 +303,7 @@
   std::string mPublishId;
   std::string mPublisher;
   int64_t mWallMillis = 0;
+  std::string mPreviousId; ///< Publish id of mFrom; empty for version 0.
 
   MSGPACK_DEFINE(mFrom,
                  mTo,
@@ -307,7 +311,8 @@
                  mRemoved,
                  mPublishId,
                  mPublisher,
-                 mWallMillis)
+                 mWallMillis,
+                 mPreviousId)
 };
 
 struct ManifestRumor
