Load the whole manifest when its line of versions changed

After a restore of the store the next version follows on an older one than the fleet has in force, so no delta leads there.

--- a/libs/node/src/HeadWatch.cpp
+++ b/libs/node/src/HeadWatch.cpp
@@ -154,14 +154,17 @@
   if (stamp.mVersion <= aReplica.Stamp().mVersion) {
     return; // Peers were faster.
   }
-  if (!mLoad->Snapshot()) {
-    // Deltas that do not follow on the version held mean that this node was
-    // on another line of versions; then the whole content is taken.
-    mLoadWhole = !aReplica.TakeDeltas(aNow, mLoad->Deltas(), "store", aOut);
-    if (mLoadWhole && !mLoad->Deltas().empty() &&
-        mLoad->Deltas().front().mFrom.mVersion != 0) {
-      mNextLoad = aNow;
-    }
+  const auto& deltas = mLoad->Deltas();
+  if (!mLoad->Snapshot() && aReplica.TakeDeltas(aNow, deltas, "store", aOut)) {
+    mLoadWhole = false;
+    return;
+  }
+  if (!mLoad->Snapshot() &&
+      (deltas.empty() || deltas.front().mFrom.mVersion != 0)) {
+    // The version held is on another line of versions, as after a restore of
+    // the store: the whole content is loaded.
+    mLoadWhole = true;
+    mNextLoad = aNow;
     return;
   }
   auto entries = mLoad->Entries();
