--- a/libs/node/include/node/NodeLogic.h
+++ b/libs/node/include/node/NodeLogic.h
@@ -34,6 +34,8 @@
   uint32_t mAuditRecords = 4096;
   uint64_t mSeed = 1;
   bool mPolicyOff = false;
+  /** Wall clock less monotonic clock, for the times that operators see. */
+  Duration mWallOffset{};
 };
 
 /** What a node tells operators of itself. */
--- a/libs/node/src/Headers.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#include "node/EntryLogic.h"
-#include "node/NodeLogic.h"
--- a/libs/wire/include/wire/Messages.h
+++ b/libs/wire/include/wire/Messages.h
@@ -75,6 +75,7 @@
   double mPressure = 0;
   bool mSuspect = false;     ///< The fingerprint was in flight at a crash.
   bool mTouchedOnce = false; ///< A non-idempotent call was made below.
+  std::string mIssuedKey;    ///< Fresh key in place of one that did not run.
 
   MSGPACK_DEFINE(mCall,
                  mOutcome,
@@ -84,7 +85,8 @@
                  mLoad,
                  mPressure,
                  mSuspect,
-                 mTouchedOnce)
+                 mTouchedOnce,
+                 mIssuedKey)
 };
 
 struct CancelCall
@@ -153,8 +155,16 @@
   uint32_t mPiece = 0;
   uint32_t mPieces = 1;
   std::vector<ClosingEntry> mEntries;
+  int64_t mClosedMillis = 0; ///< Monotonic clock of mNode at its end.
+  bool mStored = false;      ///< Confirmation of a piece; without entries.
 
-  MSGPACK_DEFINE(mNode, mService, mPiece, mPieces, mEntries)
+  MSGPACK_DEFINE(mNode,
+                 mService,
+                 mPiece,
+                 mPieces,
+                 mEntries,
+                 mClosedMillis,
+                 mStored)
 };
 
 // -- Service group ----------------------------------------------------------
