--- a/libs/idempotency/src/ClosingRecord.cpp
+++ b/libs/idempotency/src/ClosingRecord.cpp
@@ -100,9 +100,8 @@
   }
   // The closing node forgot keys older than their lifetime. This age is at
   // least the age at which it closed, so a younger key would be in the record.
-  const Duration age =
-    milliseconds(record.mClosedMillis - aKey.mIssuedMillis) +
-    (aNow - record.mReceived);
+  const Duration age = milliseconds(record.mClosedMillis - aKey.mIssuedMillis) +
+                       (aNow - record.mReceived);
   if (age >= aLifetime) {
     return {};
   }
--- a/libs/node/include/node/EntryCall.h
+++ b/libs/node/include/node/EntryCall.h
@@ -75,6 +75,7 @@
   Outcome mLastOutcome = Outcome::NotRun;
   Reason mLastReason = Reason::None;
   uint32_t mRetryAfterMs = 0;
+  std::string mFreshKey; ///< In place of mKey, which did not run.
 
   [[nodiscard]] ThrottleKey Throttle() const
   {
--- a/libs/node/include/node/EntryLogic.h
+++ b/libs/node/include/node/EntryLogic.h
@@ -154,7 +154,9 @@
               EntryCall& aCall,
               const std::string& aKey,
               Effects& aEffects);
-  void WakeKeyWaiters(TimePoint aNow, const EntryCall& aCall, Effects& aEffects);
+  void WakeKeyWaiters(TimePoint aNow,
+                      const EntryCall& aCall,
+                      Effects& aEffects);
   void AskHolders(TimePoint aNow, EntryCall& aCall, Effects& aEffects);
   void AskNextHolder(TimePoint aNow, EntryCall& aCall, Effects& aEffects);
   void HolderReplied(TimePoint aNow,
--- a/libs/node/include/node/Execution.h
+++ b/libs/node/include/node/Execution.h
@@ -42,7 +42,7 @@
 
   std::set<CallerHandle> mChildren;
   bool mHadChildren = false;
-  TimePoint mChildrenSince;  ///< Valid while there are children.
+  TimePoint mChildrenSince; ///< Valid while there are children.
   Duration mChildrenTime{}; ///< Covered by at least one child call.
   double mPressure = 0;
   bool mTouchedOnce = false;
--- a/libs/node/include/node/KeyKeeper.h
+++ b/libs/node/include/node/KeyKeeper.h
@@ -42,6 +42,12 @@
   }
 
   ExecutionTable& Table() { return mTable; }
+
+  /** Gives up a key of this incarnation that was answered as not run. A copy
+   * of the request that is still under way must not run it after that answer.
+   */
+  void Burn(TimePoint aNow, const IssuedKey& aKey);
+  [[nodiscard]] bool IsBurnt(const IssuedKey& aKey) const;
   /** @return end of the lifetime of a key of this incarnation. */
   [[nodiscard]] TimePoint ForgetTime(const IssuedKey& aKey) const
   {
@@ -83,6 +89,13 @@
     TimePoint mNextSend;
   };
 
+  /** Burnt keys among 64 successive sequence numbers. */
+  struct BurntKeys
+  {
+    uint64_t mBits = 0;
+    TimePoint mForget;
+  };
+
   void Replicate(TimePoint aNow);
   void StartTransfer(TimePoint aNow,
                      const NodeRef& aRecord,
@@ -90,9 +103,9 @@
                      const std::vector<ClosingRecordTransfer>& aPieces);
   void Send(TimePoint aNow, Transfer& aTransfer, Effects& aEffects);
   [[nodiscard]] bool IsOver(TimePoint aNow, const Transfer& aTransfer) const;
-  [[nodiscard]] std::vector<MemberUpdate> Takers(const NodeRef& aRecord,
-                                                 const std::string& aService)
-    const;
+  [[nodiscard]] std::vector<MemberUpdate> Takers(
+    const NodeRef& aRecord,
+    const std::string& aService) const;
 
   Options mOptions;
   MemberListPtr mMembers;
@@ -100,6 +113,7 @@
   ExecutionTable mTable;
   ClosingRecord mClosed;
   uint64_t mLastSequence = 0;
+  std::map<uint64_t, BurntKeys> mBurnt; ///< By sequence number over 64.
   bool mDraining = false;
   std::optional<std::vector<ClosingRecordTransfer>> mOwnRecord;
   std::string mOwnService;
--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -113,7 +113,6 @@
     Reason mReason = Reason::None;
     bool mSuspect = false;
     double mPressure = 0;
-    std::string mIssuedKey;
   };
 
   // -- Checks --
@@ -133,6 +132,11 @@
                         const CallMessage& aCall,
                         const IssuedKey& aIssued,
                         Effects& aEffects);
+  /** Settles the key of a call that is answered as not run.
+   * @return a fresh key, or an empty text when none is issued now. */
+  std::string ReplaceKey(TimePoint aNow,
+                         const CallMessage& aCall,
+                         const Verdict& aVerdict);
   [[nodiscard]] Reason CheckUpstream(const std::string& aService) const;
   [[nodiscard]] Verdict CheckCall(TimePoint aNow, const CallMessage& aCall);
   [[nodiscard]] bool IsDesignated(uint64_t aFingerprint) const;
--- a/libs/node/src/EntryAttempts.cpp
+++ b/libs/node/src/EntryAttempts.cpp
@@ -123,8 +123,8 @@
   }
   // A new incarnation at the same host may refuse, and only refuse, a call
   // that was addressed to the one before it.
-  const bool isRefusal = aReply.mOutcome == Outcome::NotRun &&
-                         aReply.mReason == Reason::WrongTarget;
+  const bool isRefusal =
+    aReply.mOutcome == Outcome::NotRun && aReply.mReason == Reason::WrongTarget;
   if (call->mStage != EntryStage::Calling ||
       (call->mTarget != aFrom && !isRefusal)) {
     aEffects.Count("dropped_reply");
@@ -162,11 +162,11 @@
   aCall.mPressure = std::max(aCall.mPressure, aReply.mPressure);
   aCall.mTouchedOnce |= aReply.mTouchedOnce;
   aCall.mRetryAfterMs = std::max(aCall.mRetryAfterMs, aReply.mRetryAfterMs);
+  aCall.mFreshKey = aReply.mIssuedKey;
   if (!aCall.mIsChild) {
-    mThrottle.Replied(
-      aNow,
-      aCall.Throttle(),
-      { .mRefused = isRefused, .mPressure = aReply.mPressure });
+    mThrottle.Replied(aNow,
+                      aCall.Throttle(),
+                      { .mRefused = isRefused, .mPressure = aReply.mPressure });
   }
   if (aReply.mSuspect) {
     aCall.mSuspect = true;
@@ -259,11 +259,11 @@
   }
   aCall.mStage = EntryStage::AskingGrant;
   mCalls.SetWake(aCall, std::min(aCall.mDeadline, aNow + kGrantTimeout));
-  aEffects.mActions.emplace_back(SendMessage{
-    .mTo = aCall.mRoot,
-    .mAddress = address,
-    .mMessage = RetryGrantRequest{ .mRequest = aCall.mRequest,
-                                   .mCall = aCall.mId } });
+  aEffects.mActions.emplace_back(
+    SendMessage{ .mTo = aCall.mRoot,
+                 .mAddress = address,
+                 .mMessage = RetryGrantRequest{ .mRequest = aCall.mRequest,
+                                                .mCall = aCall.mId } });
 }
 
 void
@@ -311,8 +311,10 @@
          aCall,
          { .mOutcome = outcome,
            .mReason = aCall.mLastReason,
-           .mRetryAfter = std::max<Duration>(
-             drawn, milliseconds(aCall.mRetryAfterMs)) },
+           .mRetryAfter =
+             std::max<Duration>(drawn, milliseconds(aCall.mRetryAfterMs)),
+           .mIssuedKey =
+             outcome == Outcome::NotRun ? aCall.mFreshKey : std::string{} },
          aEffects);
 }
 
@@ -329,8 +331,7 @@
   }
   Step(aCall,
        "answer",
-       fmt::format(
-         "{} {}", ToName(aAnswer.mOutcome), ToName(aAnswer.mReason)),
+       fmt::format("{} {}", ToName(aAnswer.mOutcome), ToName(aAnswer.mReason)),
        aEffects);
   const bool wasAskingChildKey = aCall.mIsChild && !aCall.mChildKey.empty() &&
                                  aCall.mKey.empty() &&
@@ -342,11 +343,11 @@
     aEffects.mActions.emplace_back(std::move(aAnswer));
   }
   if (call.mIsChild) {
-    aEffects.mEvents.emplace_back(ChildOutcome{ .mParent = call.mParent,
-                                                .mCaller = call.mCaller,
-                                                .mPressure = call.mPressure,
-                                                .mTouchedOnce =
-                                                  call.mTouchedOnce });
+    aEffects.mEvents.emplace_back(
+      ChildOutcome{ .mParent = call.mParent,
+                    .mCaller = call.mCaller,
+                    .mPressure = call.mPressure,
+                    .mTouchedOnce = call.mTouchedOnce });
   } else {
     --mOptions.mShared->mExternalCalls;
     aEffects.mEvents.emplace_back(RequestEnded{ call.mRequest });
--- a/libs/node/src/EntryCall.cpp
+++ b/libs/node/src/EntryCall.cpp
@@ -107,8 +107,8 @@
 EntryCalls::ChildKey&
 EntryCalls::KeyOf(const EntryCall& aCall)
 {
-  return mFamilies[aCall.mParent].mKeys[aCall.mService + '\n' +
-                                        aCall.mChildKey];
+  return mFamilies[aCall.mParent]
+    .mKeys[aCall.mService + '\n' + aCall.mChildKey];
 }
 
 void
--- a/libs/node/src/EntryKeys.cpp
+++ b/libs/node/src/EntryKeys.cpp
@@ -76,10 +76,11 @@
     // The key can no longer run; the upstream's next call takes a fresh one.
     mCalls.ForgetKey(aCall);
   }
-  const bool isLeaving = aCall.mLastOutcome == Outcome::NotRun &&
-                         (aCall.mLastReason == Reason::Leaving ||
-                          aCall.mLastReason == Reason::UpstreamDown);
-  if (isLeaving && !aCall.mIsChild) {
+  const bool isSettled = aCall.mLastOutcome == Outcome::MayHaveRun ||
+                         aCall.mLastReason == Reason::KeyMismatch ||
+                         !aCall.mFreshKey.empty();
+  if (!isSettled && !aCall.mIsChild) {
+    // Its node issues no key now; another one does.
     AskKey(aNow, aCall, KeyPurpose::Answer, aEffects);
     return;
   }
@@ -89,9 +90,7 @@
 // -- Child calls ------------------------------------------------------------
 
 void
-EntryLogic::BeginChildKeyed(TimePoint aNow,
-                            EntryCall& aCall,
-                            Effects& aEffects)
+EntryLogic::BeginChildKeyed(TimePoint aNow, EntryCall& aCall, Effects& aEffects)
 {
   EntryCalls::ChildKey& key = mCalls.KeyOf(aCall);
   if (!key.mIssued.empty()) {
@@ -197,13 +196,13 @@
     }
     return;
   }
-  Finish(aNow,
-         *call,
-         { .mOutcome = call->mMayHaveRun ? Outcome::MayHaveRun
-                                         : Outcome::NotRun,
-           .mReason = call->mLastReason,
-           .mIssuedKey = aIssued.mKey },
-         aEffects);
+  Finish(
+    aNow,
+    *call,
+    { .mOutcome = call->mMayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun,
+      .mReason = call->mLastReason,
+      .mIssuedKey = aIssued.mKey },
+    aEffects);
 }
 
 void
@@ -224,8 +223,8 @@
   aCall.mLastOutcome = Outcome::MayHaveRun;
   aCall.mLastReason = Reason::KeyHolderGone;
   if (mMembers) {
-    aCall.mHolders = HoldersOf(
-      *mMembers, aCall.mService, aCall.mIssued->mNode, kHoldersAsked);
+    aCall.mHolders =
+      HoldersOf(*mMembers, aCall.mService, aCall.mIssued->mNode, kHoldersAsked);
     std::reverse(aCall.mHolders.begin(), aCall.mHolders.end());
   }
   AskNextHolder(aNow, aCall, aEffects);
@@ -247,21 +246,20 @@
   aCall.mTargetAddress = holder.mPeerAddress;
   aCall.mTargetEnding = false;
   mCalls.SetWake(aCall, std::min(aCall.mDeadline, aNow + kKeyTimeout));
-  aEffects.mActions.emplace_back(
-    SendMessage{ .mTo = holder.mNode,
-                 .mAddress = holder.mPeerAddress,
-                 .mMessage = CallMessage{ .mCall = aCall.mId,
-                                          .mRequest = aCall.mRequest,
-                                          .mRoot = aCall.mRoot,
-                                          .mCaller = aCall.mCallerName,
-                                          .mParty = aCall.mParty,
-                                          .mService = aCall.mService,
-                                          .mRequestClass = aCall.mRequestClass,
-                                          .mTimeoutMs = uint32_t(left),
-                                          .mIdempotent = false,
-                                          .mKey = aCall.mKey,
-                                          .mFingerprint =
-                                            aCall.mFingerprint } });
+  aEffects.mActions.emplace_back(SendMessage{
+    .mTo = holder.mNode,
+    .mAddress = holder.mPeerAddress,
+    .mMessage = CallMessage{ .mCall = aCall.mId,
+                             .mRequest = aCall.mRequest,
+                             .mRoot = aCall.mRoot,
+                             .mCaller = aCall.mCallerName,
+                             .mParty = aCall.mParty,
+                             .mService = aCall.mService,
+                             .mRequestClass = aCall.mRequestClass,
+                             .mTimeoutMs = uint32_t(left),
+                             .mIdempotent = false,
+                             .mKey = aCall.mKey,
+                             .mFingerprint = aCall.mFingerprint } });
   Step(aCall, "asked-holder", {}, aEffects);
 }
 
--- a/libs/node/src/EntryLogic.cpp
+++ b/libs/node/src/EntryLogic.cpp
@@ -73,8 +73,7 @@
     const Presence presence = PresenceOf(*aMembers, call->mTarget);
     if (presence == Presence::Dead) {
       TargetLost(aNow, *call, false, aEffects);
-    } else if ((presence == Presence::Left ||
-                presence == Presence::Replaced) &&
+    } else if ((presence == Presence::Left || presence == Presence::Replaced) &&
                !call->mTargetEnding) {
       call->mTargetEnding = true;
       mCalls.SetWake(*call, std::min(call->mWake, aNow + kLeftGrace));
@@ -221,8 +220,8 @@
     // The key of a child call is the upstream's own; nothing was sent with it.
     aCall.mKey.clear();
     Refuse(aNow, aCall, reason, aEffects);
-    aEffects.mEvents.emplace_back(ChildOutcome{
-      .mParent = aParent.mExecution, .mCaller = aCall.mCaller });
+    aEffects.mEvents.emplace_back(
+      ChildOutcome{ .mParent = aParent.mExecution, .mCaller = aCall.mCaller });
     return;
   }
   std::string key = aCall.mKey;
@@ -302,9 +301,7 @@
 }
 
 void
-EntryLogic::CallerGone(TimePoint aNow,
-                       CallerHandle aCaller,
-                       Effects& aEffects)
+EntryLogic::CallerGone(TimePoint aNow, CallerHandle aCaller, Effects& aEffects)
 {
   if (EntryCall* call = mCalls.FindByCaller(aCaller)) {
     aEffects.Count("callers_gone");
--- a/libs/node/src/EntryRoutes.cpp
+++ b/libs/node/src/EntryRoutes.cpp
@@ -59,10 +59,10 @@
   if (it != mRoutes.end()) {
     return it->second;
   }
-  Route route{ .mRouter = Router({ .mRegion = mOptions.mRegion,
-                                   .mDataCentre = mOptions.mDataCentre,
-                                   .mSeed = mOptions.mSeed ^
-                                            Hash64(aService) }),
+  Route route{ .mRouter =
+                 Router({ .mRegion = mOptions.mRegion,
+                          .mDataCentre = mOptions.mDataCentre,
+                          .mSeed = mOptions.mSeed ^ Hash64(aService) }),
                .mRatio = {} };
   if (mMembers) {
     if (const auto members = mMembers->mByService.find(aService);
@@ -108,8 +108,8 @@
   }
   Router& router = RouterOf(aNow, aCall.mService);
   if (aCall.mSuspect) {
-    const auto node = CrashCorrelator::DesignatedNode(aCall.mFingerprint,
-                                                      router.Nodes());
+    const auto node =
+      CrashCorrelator::DesignatedNode(aCall.mFingerprint, router.Nodes());
     if (node && !aCall.mTried.contains(*node)) {
       if (auto choice = router.Find(*node)) {
         return choice;
@@ -140,9 +140,7 @@
 }
 
 void
-EntryRoutes::NoteSuspect(TimePoint aNow,
-                         uint64_t aFingerprint,
-                         bool aIsSuspect)
+EntryRoutes::NoteSuspect(TimePoint aNow, uint64_t aFingerprint, bool aIsSuspect)
 {
   if (!aIsSuspect) {
     mSuspects.erase(aFingerprint);
--- a/libs/node/src/Holders.cpp
+++ b/libs/node/src/Holders.cpp
@@ -16,8 +16,7 @@
   if (it == aMembers.mByService.end()) {
     return {};
   }
-  const uint64_t key =
-    Hash64(aClosed.mId.mValue, aClosed.mIncarnation.mValue);
+  const uint64_t key = Hash64(aClosed.mId.mValue, aClosed.mIncarnation.mValue);
   std::vector<std::pair<uint64_t, const MemberUpdate*>> ranked;
   for (const MemberUpdate& member : it->second) {
     if (member.mState != MemberState::Leaving &&
@@ -68,8 +67,7 @@
 AddressOf(const MemberList& aMembers, const NodeRef& aNode)
 {
   const auto it = aMembers.mByNode.find(aNode.mId);
-  return it == aMembers.mByNode.end() ? std::string{}
-                                      : it->second.mPeerAddress;
+  return it == aMembers.mByNode.end() ? std::string{} : it->second.mPeerAddress;
 }
 
 } // namespace amaranthgap
--- a/libs/node/src/Journal.cpp
+++ b/libs/node/src/Journal.cpp
@@ -26,13 +26,12 @@
     if (record.mStep.mRequest != aRequest) {
       continue;
     }
-    steps.push_back(
-      { .mWallMillis =
-          ToMillis(record.mTime.time_since_epoch() + mOptions.mWallOffset),
-        .mRole = std::string(record.mStep.mRole),
-        .mEvent = std::string(record.mStep.mEvent),
-        .mPeer = record.mStep.mPeer,
-        .mDetail = record.mStep.mDetail });
+    steps.push_back({ .mWallMillis = ToMillis(record.mTime.time_since_epoch() +
+                                              mOptions.mWallOffset),
+                      .mRole = std::string(record.mStep.mRole),
+                      .mEvent = std::string(record.mStep.mEvent),
+                      .mPeer = record.mStep.mPeer,
+                      .mDetail = record.mStep.mDetail });
   }
   return steps;
 }
--- a/libs/node/src/KeyKeeper.cpp
+++ b/libs/node/src/KeyKeeper.cpp
@@ -46,6 +46,22 @@
   return IssuedKey::FromText(aText, mOptions.mSecret);
 }
 
+void
+KeyKeeper::Burn(TimePoint aNow, const IssuedKey& aKey)
+{
+  BurntKeys& keys = mBurnt[aKey.mSequence / 64];
+  keys.mBits |= uint64_t{ 1 } << (aKey.mSequence % 64);
+  keys.mForget = aNow + mLifetime;
+}
+
+bool
+KeyKeeper::IsBurnt(const IssuedKey& aKey) const
+{
+  const auto it = mBurnt.find(aKey.mSequence / 64);
+  return it != mBurnt.end() &&
+         (it->second.mBits >> (aKey.mSequence % 64) & 1) != 0;
+}
+
 // -- Hand-over --------------------------------------------------------------
 
 void
@@ -69,11 +85,10 @@
     return {};
   }
   auto holders = HoldersOf(*mMembers, aService, aRecord, kHolders + 1);
-  const bool isSelfIn = !mDraining && std::ranges::any_of(
-                                        holders, [&](const auto& aHolder) {
-                                          return aHolder.mNode.mId ==
-                                                 mOptions.mSelf.mId;
-                                        });
+  const bool isSelfIn =
+    !mDraining && std::ranges::any_of(holders, [&](const auto& aHolder) {
+      return aHolder.mNode.mId == mOptions.mSelf.mId;
+    });
   std::erase_if(holders, [&](const MemberUpdate& aHolder) {
     return aHolder.mNode.mId == mOptions.mSelf.mId;
   });
@@ -97,10 +112,9 @@
   if (isUnderWay || mDone[aRecord].contains(aTo.mNode)) {
     return;
   }
-  Transfer transfer{ .mRecord = aRecord,
-                     .mTo = aTo,
-                     .mStart = aNow,
-                     .mNextSend = aNow };
+  Transfer transfer{
+    .mRecord = aRecord, .mTo = aTo, .mStart = aNow, .mNextSend = aNow
+  };
   for (const ClosingRecordTransfer& piece : aPieces) {
     transfer.mLeft.emplace(piece.mPiece, piece);
   }
@@ -178,9 +192,8 @@
 bool
 KeyKeeper::IsOver(TimePoint aNow, const Transfer& aTransfer) const
 {
-  const Presence presence = mMembers
-                              ? PresenceOf(*mMembers, aTransfer.mTo.mNode)
-                              : Presence::Unknown;
+  const Presence presence =
+    mMembers ? PresenceOf(*mMembers, aTransfer.mTo.mNode) : Presence::Unknown;
   return aTransfer.mLeft.empty() || aNow - aTransfer.mStart > kGiveUp ||
          presence == Presence::Left || presence == Presence::Dead ||
          presence == Presence::Replaced;
@@ -199,6 +212,8 @@
     mNextReplication = aNow + kReplicationInterval;
     mTable.Expire(aNow);
     mClosed.Expire(aNow);
+    std::erase_if(
+      mBurnt, [&](const auto& aItem) { return aItem.second.mForget <= aNow; });
     Replicate(aNow);
   }
   for (auto it = mTransfers.begin(); it != mTransfers.end();) {
--- a/libs/node/src/NodeLogic.cpp
+++ b/libs/node/src/NodeLogic.cpp
@@ -291,26 +291,22 @@
     });
   } else if (const auto* wanted = std::get_if<KeyRequest>(&message)) {
     mTarget.Use([&](TargetLogic& aTarget) {
-      aTarget.KeyRequested(
-        aNow, from, aInbound.mAddress, *wanted, aEffects);
+      aTarget.KeyRequested(aNow, from, aInbound.mAddress, *wanted, aEffects);
     });
   } else if (const auto* issued = std::get_if<KeyIssued>(&message)) {
     EntryOf(issued->mCall).Use([&](EntryLogic& aEntry) {
       aEntry.KeyArrived(aNow, from, *issued, aEffects);
     });
-  } else if (const auto* piece =
-               std::get_if<ClosingRecordTransfer>(&message)) {
+  } else if (const auto* piece = std::get_if<ClosingRecordTransfer>(&message)) {
     mTarget.Use([&](TargetLogic& aTarget) {
-      aTarget.TransferArrived(
-        aNow, from, aInbound.mAddress, *piece, aEffects);
+      aTarget.TransferArrived(aNow, from, aInbound.mAddress, *piece, aEffects);
     });
   } else if (const auto* crash = std::get_if<CrashReport>(&message)) {
     mTarget.Use(
       [&](TargetLogic& aTarget) { aTarget.CrashReported(aNow, *crash); });
   } else if (const auto* usage = std::get_if<UsageReport>(&message)) {
-    mTarget.Use([&](TargetLogic& aTarget) {
-      aTarget.UsageReported(aNow, from, *usage);
-    });
+    mTarget.Use(
+      [&](TargetLogic& aTarget) { aTarget.UsageReported(aNow, from, *usage); });
   }
 }
 
@@ -319,9 +315,7 @@
 template<class Mutex>
 template<class F>
 void
-NodeLogic<Mutex>::Parts::RunControl(TimePoint aNow,
-                                    Actions& aActions,
-                                    F aEvent)
+NodeLogic<Mutex>::Parts::RunControl(TimePoint aNow, Actions& aActions, F aEvent)
 {
   NodeRef self;
   ManifestPtr manifest;
@@ -381,9 +375,8 @@
 void
 NodeLogic<Mutex>::Parts::StartDrain(TimePoint aNow, Actions& aActions)
 {
-  const bool isFirst = mFacts.Use([](NodeFacts& aFacts) {
-    return !std::exchange(aFacts.mDraining, true);
-  });
+  const bool isFirst = mFacts.Use(
+    [](NodeFacts& aFacts) { return !std::exchange(aFacts.mDraining, true); });
   if (!isFirst) {
     return;
   }
@@ -431,10 +424,9 @@
   });
   if (!parent) {
     mParts->Count("children_refused");
-    aActions.emplace_back(
-      AnswerCaller{ .mCaller = aCall.mCaller,
-                    .mRequest = aCall.mRequest,
-                    .mReason = Reason::UnknownExecution });
+    aActions.emplace_back(AnswerCaller{ .mCaller = aCall.mCaller,
+                                        .mRequest = aCall.mRequest,
+                                        .mReason = Reason::UnknownExecution });
     return;
   }
   mParts->Run(
@@ -634,9 +626,8 @@
     }
   }
   if (IsDrained(aNow)) {
-    const bool isFirst = mParts->mFacts.Use([](NodeFacts& aFacts) {
-      return !std::exchange(aFacts.mSaidLeft, true);
-    });
+    const bool isFirst = mParts->mFacts.Use(
+      [](NodeFacts& aFacts) { return !std::exchange(aFacts.mSaidLeft, true); });
     if (isFirst) {
       mParts->RunControl(aNow, aActions, [&](ControlLogic& aControl) {
         aControl.Left(aNow, aActions);
@@ -691,8 +682,8 @@
     status.mCallsInFlight +=
       entry->Use([](EntryLogic& aEntry) { return aEntry.InFlight(); });
   }
-  status.mCounters = mParts->mJournal.Use(
-    [](Journal& aJournal) { return aJournal.Counters(); });
+  status.mCounters =
+    mParts->mJournal.Use([](Journal& aJournal) { return aJournal.Counters(); });
   return status;
 }
 
--- a/libs/node/src/TargetAdmission.cpp
+++ b/libs/node/src/TargetAdmission.cpp
@@ -63,16 +63,15 @@
                   rate,
                   FromSeconds(mMeanRunSeconds));
   for (const ExecutionId evicted : verdict.mEvicted) {
-    Withdraw(aNow,
-             evicted,
-             { .mReason = Reason::Evicted, .mPressure = 1 },
-             aEffects);
+    Withdraw(
+      aNow, evicted, { .mReason = Reason::Evicted, .mPressure = 1 }, aEffects);
   }
   if (!verdict.mQueued) {
-    Withdraw(aNow,
-             id,
-             { .mReason = Reason::Overloaded, .mPressure = std::max(1.0, fill) },
-             aEffects);
+    Withdraw(
+      aNow,
+      id,
+      { .mReason = Reason::Overloaded, .mPressure = std::max(1.0, fill) },
+      aEffects);
   }
 }
 
--- a/libs/node/src/TargetEnd.cpp
+++ b/libs/node/src/TargetEnd.cpp
@@ -28,6 +28,30 @@
                                               .mMessage = std::move(aReply) });
 }
 
+std::string
+TargetLogic::ReplaceKey(TimePoint aNow,
+                        const CallMessage& aCall,
+                        const Verdict& aVerdict)
+{
+  // A mismatch concerns only the other payload; the key stays valid.
+  if (aCall.mKey.empty() || aVerdict.mOutcome != Outcome::NotRun ||
+      aVerdict.mReason == Reason::KeyMismatch ||
+      aVerdict.mReason == Reason::BadRequest) {
+    return {};
+  }
+  if (const auto key = mKeys.Read(aCall.mKey);
+      key && key->mNode == mOptions.mSelf) {
+    mKeys.Burn(aNow, *key);
+  }
+  if (CheckUpstream(aCall.mService) != Reason::None) {
+    return {};
+  }
+  return mKeys.Issue(aNow,
+                     { .mParty = aCall.mParty,
+                       .mService = aCall.mService,
+                       .mRequestClass = aCall.mRequestClass });
+}
+
 void
 TargetLogic::Refuse(TimePoint aNow,
                     const ReplyAddress& aTo,
@@ -42,15 +66,15 @@
               .mLoad = Load(aNow),
               .mPressure = aVerdict.mPressure,
               .mSuspect = aVerdict.mSuspect,
-              .mIssuedKey = aVerdict.mIssuedKey },
+              .mIssuedKey = ReplaceKey(aNow, aCall, aVerdict) },
             aEffects);
   aEffects.Count("target_refused_", ToName(aVerdict.mReason));
-  Step(aCall,
-       aTo.mNode,
-       "refused",
-       fmt::format(
-         "{} {}", ToName(aVerdict.mOutcome), ToName(aVerdict.mReason)),
-       aEffects);
+  Step(
+    aCall,
+    aTo.mNode,
+    "refused",
+    fmt::format("{} {}", ToName(aVerdict.mOutcome), ToName(aVerdict.mReason)),
+    aEffects);
 }
 
 void
@@ -60,6 +84,10 @@
                    const HttpResponse& aHttp,
                    Effects& aEffects)
 {
+  if (aExecution.mWaiters.empty()) {
+    return;
+  }
+  const std::string key = ReplaceKey(aNow, aExecution.mCall, aVerdict);
   for (const ReplyAddress& to : aExecution.mWaiters) {
     SendReply(to,
               { .mCall = to.mCall,
@@ -67,17 +95,17 @@
                 .mReason = aVerdict.mReason,
                 .mHttp = aHttp,
                 .mLoad = Load(aNow),
-                .mPressure = std::max(aVerdict.mPressure,
-                                      aExecution.mPressure),
+                .mPressure = std::max(aVerdict.mPressure, aExecution.mPressure),
                 .mSuspect = aVerdict.mSuspect,
-                .mTouchedOnce = aExecution.mTouchedOnce },
+                .mTouchedOnce = aExecution.mTouchedOnce,
+                .mIssuedKey = key },
               aEffects);
-    Step(aExecution.mCall,
-         to.mNode,
-         "replied",
-         fmt::format(
-           "{} {}", ToName(aVerdict.mOutcome), ToName(aVerdict.mReason)),
-         aEffects);
+    Step(
+      aExecution.mCall,
+      to.mNode,
+      "replied",
+      fmt::format("{} {}", ToName(aVerdict.mOutcome), ToName(aVerdict.mReason)),
+      aEffects);
   }
 }
 
@@ -130,10 +158,10 @@
   if (!aAnswered) {
     return;
   }
-  mMeanRunSeconds = mMeanRunSeconds > 0
-                      ? mMeanRunSeconds + kMeanRunWeight *
-                                            (ToSeconds(run) - mMeanRunSeconds)
-                      : ToSeconds(run);
+  mMeanRunSeconds =
+    mMeanRunSeconds > 0
+      ? mMeanRunSeconds + kMeanRunWeight * (ToSeconds(run) - mMeanRunSeconds)
+      : ToSeconds(run);
   mLimiter->Finished(aNow,
                      { .mClass = Hash64(aExecution.mCall.mRequestClass),
                        .mStarted = aExecution.mStarted,
@@ -158,16 +186,15 @@
   const bool isShed = aResponse.mStatus == kTooManyRequests ||
                       aResponse.mStatus == kServiceUnavailable;
   NoteFinished(aNow, *execution, isShed, true);
-  if (auto report =
-        mCrashes->Completed(aNow, execution->mCall.mFingerprint)) {
+  if (auto report = mCrashes->Completed(aNow, execution->mCall.mFingerprint)) {
     report->mService = mUpstream.Last().mService;
     SendToService(*report, aEffects);
   }
   if (execution->mIssued) {
-    mKeys.Table().Finish(
-      execution->mCall.mKey, Outcome::Answered, aResponse);
+    mKeys.Table().Finish(execution->mCall.mKey, Outcome::Answered, aResponse);
   }
-  Reply(aNow, *execution, { .mOutcome = Outcome::Answered }, aResponse, aEffects);
+  Reply(
+    aNow, *execution, { .mOutcome = Outcome::Answered }, aResponse, aEffects);
   Remove(aNow, aExecution, aEffects);
 }
 
@@ -274,12 +301,12 @@
       Withdraw(aNow, id, { .mReason = Reason::DeadlineExpired }, aEffects);
       break;
     case ExecutionStage::Running:
-      Reply(aNow,
-            aExecution,
-            { .mOutcome = Outcome::MayHaveRun,
-              .mReason = Reason::DeadlineExpired },
-            {},
-            aEffects);
+      Reply(
+        aNow,
+        aExecution,
+        { .mOutcome = Outcome::MayHaveRun, .mReason = Reason::DeadlineExpired },
+        {},
+        aEffects);
       for (const ReplyAddress& to : std::exchange(aExecution.mWaiters, {})) {
         mByCall.erase({ to.mNode, to.mCall });
       }
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -180,12 +180,10 @@
     return;
   }
   const ExecutionId id{ ++mLastExecution };
-  if (issued && mKeys.Table()
-                    .Begin(aCall.mKey,
-                           aCall.mFingerprint,
-                           id,
-                           mKeys.ForgetTime(*issued))
-                    .mVerdict == ExecutionTable::Verdict::Full) {
+  if (issued &&
+      mKeys.Table()
+          .Begin(aCall.mKey, aCall.mFingerprint, id, mKeys.ForgetTime(*issued))
+          .mVerdict == ExecutionTable::Verdict::Full) {
     Refuse(aNow, to, aCall, { .mReason = Reason::Overloaded }, aEffects);
     return;
   }
@@ -269,6 +267,10 @@
            aEffects);
     return true;
   }
+  if (mKeys.IsBurnt(*aIssued)) {
+    Refuse(aNow, aTo, aCall, { .mReason = Reason::KeyRequired }, aEffects);
+    return true;
+  }
   const auto known = mKeys.Table().Find(aCall.mKey, aCall.mFingerprint);
   if (!known) {
     return false;
@@ -316,13 +318,6 @@
       break;
     case ClosingRecord::Knowledge::NotRun:
       verdict.mOutcome = Outcome::NotRun;
-      if (CheckUpstream(aCall.mService) == Reason::None) {
-        verdict.mIssuedKey =
-          mKeys.Issue(aNow,
-                      { .mParty = aCall.mParty,
-                        .mService = aCall.mService,
-                        .mRequestClass = aCall.mRequestClass });
-      }
       break;
     case ClosingRecord::Knowledge::Ran:
       if (found.mEntry->mFingerprint != aCall.mFingerprint) {
@@ -467,8 +462,8 @@
   return { .mInFlight = uint32_t(mRunning.size()),
            .mWaiting = uint32_t(mQueue->Size()),
            .mLimit = mLimiter ? mLimiter->Limit(aNow) : 0,
-           .mLeaving = CheckUpstream(mUpstream.Last().mService) ==
-                       Reason::Leaving };
+           .mLeaving =
+             CheckUpstream(mUpstream.Last().mService) == Reason::Leaving };
 }
 
 Execution*
--- /dev/null
+++ b/libs/node/tests/Sim.cpp
@@ -0,0 +1,440 @@
+#include "Sim.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace amaranthgap::sim {
+namespace {
+
+constexpr Duration kTick = milliseconds(20);
+constexpr Duration kAnnounce = seconds(1);
+
+} // namespace
+
+Sim::Sim(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mRng(mOptions.mSeed)
+{
+  mDirectory.mManifest = mOptions.mManifest;
+  Directory::Current() = &mDirectory;
+  size_t number = 0;
+  for (const ServiceModel& service : mOptions.mServices) {
+    for (uint32_t i = 0; i < service.mHosts; ++i) {
+      Host host;
+      host.mId = { fmt::format("{}-{}", service.mName, i) };
+      host.mAddress = fmt::format("10.0.0.{}:7000", ++number);
+      host.mService = service.mName;
+      host.mDataCentre = i % 2 == 0 ? "dc1" : "dc2";
+      mByAddress[host.mAddress] = mHosts.size();
+      mHosts.push_back(std::move(host));
+    }
+  }
+  for (size_t i = 0; i < mHosts.size(); ++i) {
+    Start(i);
+    StartUpstreamOf(i);
+  }
+}
+
+Sim::~Sim()
+{
+  Directory::Current() = nullptr;
+}
+
+// -- Time -------------------------------------------------------------------
+
+void
+Sim::After(Duration aDelay, std::function<void()> aEvent)
+{
+  mEvents.emplace(mNow + aDelay, std::move(aEvent));
+}
+
+void
+Sim::RunFor(Duration aTime)
+{
+  const TimePoint end = mNow + aTime;
+  while (!mEvents.empty() && mEvents.begin()->first <= end) {
+    auto node = mEvents.extract(mEvents.begin());
+    mNow = node.key();
+    node.mapped()();
+  }
+  mNow = end;
+}
+
+void
+Sim::Post(size_t aHost, uint64_t aEpoch, std::function<void()> aEvent)
+{
+  Host& host = mHosts[aHost];
+  if (host.mEpoch != aEpoch || !host.mAlive) {
+    return;
+  }
+  if (host.mPaused) {
+    host.mHeld.push_back(std::move(aEvent));
+  } else {
+    aEvent();
+  }
+}
+
+// -- Nodes ------------------------------------------------------------------
+
+void
+Sim::Start(size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  ++host.mEpoch;
+  host.mAlive = true;
+  host.mPaused = false;
+  host.mDraining = false;
+  host.mHeld.clear();
+  host.mWork.clear();
+  host.mRef = { host.mId, { ++mLastIncarnation } };
+  host.mNode = std::make_unique<Node>(
+    NodeOptions{ .mSelf = host.mRef,
+                 .mRegion = "east",
+                 .mDataCentre = host.mDataCentre,
+                 .mPeerAddress = host.mAddress,
+                 .mStaticPeers = { mHosts.front().mAddress },
+                 .mKeySecret = "secret of the simulation",
+                 .mEntryShards = 2,
+                 .mSeed = mRng.Next(),
+                 .mPolicyOff = mOptions.mPolicyOff });
+  const uint64_t epoch = host.mEpoch;
+  After(FromSeconds(mRng.Uniform(0, 0.02)),
+        [this, aHost, epoch] { TickHost(aHost, epoch); });
+  After(FromSeconds(mRng.Uniform(0, 0.01)),
+        [this, aHost, epoch] { Announce(aHost, epoch); });
+}
+
+void
+Sim::TickHost(size_t aHost, uint64_t aEpoch)
+{
+  Host& host = mHosts[aHost];
+  if (host.mEpoch != aEpoch) {
+    return;
+  }
+  After(kTick, [this, aHost, aEpoch] { TickHost(aHost, aEpoch); });
+  if (host.mPaused) {
+    return;
+  }
+  Actions actions;
+  host.mNode->Tick(mNow, actions);
+  Carry(aHost, std::move(actions));
+  if (host.mDraining && host.mNode->IsDrained(mNow)) {
+    if (!host.mWork.empty()) {
+      mViolations.push_back(
+        fmt::format("{} drained with work in flight", host.mId.mValue));
+    }
+    Kill(aHost);
+  }
+}
+
+void
+Sim::Kill(size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  const NodeRef ref = host.mRef;
+  ++host.mEpoch;
+  host.mAlive = false;
+  host.mNode.reset();
+  host.mWork.clear();
+  for (Sent& call : mCalls) {
+    if (call.mHost == aHost && !call.mAnswer && !call.mGone) {
+      call.mGone = true;
+      const size_t index = size_t(&call - mCalls.data());
+      After(milliseconds(1), [this, index] {
+        if (mOnAnswer) {
+          mOnAnswer(index);
+        }
+      });
+    }
+  }
+  // Each open stream breaks at the other end.
+  for (size_t i = 0; i < mHosts.size(); ++i) {
+    const bool hadStream = mLinks.erase({ i, aHost }) > 0;
+    mLinks.erase({ aHost, i });
+    if (i != aHost && hadStream) {
+      After(FromSeconds(mRng.Uniform(0, 0.03)),
+            [this, i, ref] { ReportLost(i, ref, false); });
+    }
+  }
+  if (!host.mDraining) {
+    After(seconds(3),
+          [this, ref] { mDirectory.SetState(ref, MemberState::Dead); });
+  }
+}
+
+void
+Sim::Pause(size_t aHost)
+{
+  mHosts[aHost].mPaused = true;
+}
+
+void
+Sim::Resume(size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  host.mPaused = false;
+  const uint64_t epoch = host.mEpoch;
+  for (auto& event : std::exchange(host.mHeld, {})) {
+    Post(aHost, epoch, std::move(event));
+  }
+}
+
+void
+Sim::Drain(size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  if (!host.mAlive || host.mDraining) {
+    return;
+  }
+  host.mDraining = true;
+  Post(aHost, host.mEpoch, [this, aHost] {
+    Actions actions;
+    mHosts[aHost].mNode->DrainStarted(mNow, actions);
+    Carry(aHost, std::move(actions));
+  });
+}
+
+void
+Sim::Partition(size_t aHost, int aPart)
+{
+  mHosts[aHost].mPartition = aPart;
+}
+
+// -- Network ----------------------------------------------------------------
+
+void
+Sim::Carry(size_t aHost, Actions aActions)
+{
+  for (Action& action : aActions) {
+    if (auto* send = std::get_if<SendMessage>(&action)) {
+      Send(aHost, std::move(*send));
+    } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+      Answered(aHost, *answer);
+    } else if (auto* start = std::get_if<StartUpstream>(&action)) {
+      BeginWork(aHost, std::move(*start));
+    } else if (const auto* cancel = std::get_if<CancelUpstream>(&action)) {
+      CancelWork(aHost, cancel->mExecution);
+    }
+  }
+}
+
+void
+Sim::Send(size_t aHost, SendMessage aSend)
+{
+  const auto it = mByAddress.find(aSend.mAddress);
+  if (it == mByAddress.end()) {
+    return;
+  }
+  const size_t to = it->second;
+  const Host& host = mHosts[aHost];
+  const Host& peer = mHosts[to];
+  Envelope envelope{ .mFrom = host.mRef,
+                     .mFromAddress = host.mAddress,
+                     .mTo = aSend.mTo,
+                     .mSequence = ++mLastSequence,
+                     .mMessage = std::move(aSend.mMessage) };
+  const Duration latency =
+    mOptions.mFaults.mLatency +
+    FromSeconds(mRng.Uniform(0, ToSeconds(mOptions.mFaults.mLatency)));
+  if (aSend.mTransport == Transport::Stream) {
+    if (!peer.mAlive) {
+      const NodeRef ref = aSend.mTo;
+      After(latency, [this, aHost, ref] { ReportLost(aHost, ref, true); });
+      return;
+    }
+    mLinks[{ aHost, to }] = { peer.mEpoch, peer.mRef };
+    mLinks[{ to, aHost }] = { host.mEpoch, host.mRef };
+  }
+  const Faults& faults = mOptions.mFaults;
+  if (host.mPartition != peer.mPartition || mRng.Uniform() < faults.mLoss) {
+    return;
+  }
+  // A repeated message reaches only the incarnation that the first one was
+  // sent to: a stream ends with the process at its other end.
+  if (mRng.Uniform() < faults.mDuplicate) {
+    Transmit(aHost, to, envelope, FromSeconds(mRng.Uniform(0, 0.5)));
+  }
+  const Duration extra = mRng.Uniform() < faults.mDelay
+                           ? FromSeconds(mRng.Uniform(0, 1))
+                           : Duration::zero();
+  Transmit(aHost, to, std::move(envelope), latency + extra);
+}
+
+void
+Sim::Transmit(size_t /*aFrom*/, size_t aTo, Envelope aEnvelope, Duration aDelay)
+{
+  const uint64_t epoch = mHosts[aTo].mEpoch;
+  After(aDelay, [this, aTo, epoch, envelope = std::move(aEnvelope)] {
+    Post(aTo, epoch, [this, aTo, envelope] {
+      Actions actions;
+      mHosts[aTo].mNode->MessageArrived(mNow, envelope, actions);
+      Carry(aTo, std::move(actions));
+    });
+  });
+}
+
+void
+Sim::ReportLost(size_t aHost, const NodeRef& aPeer, bool aNeverSent)
+{
+  Post(aHost, mHosts[aHost].mEpoch, [this, aHost, aPeer, aNeverSent] {
+    Actions actions;
+    mHosts[aHost].mNode->PeerLost(mNow, aPeer, aNeverSent, actions);
+    Carry(aHost, std::move(actions));
+  });
+}
+
+// -- Callers ----------------------------------------------------------------
+
+size_t
+Sim::Call(size_t aHost,
+          uint64_t aOperation,
+          const std::string& aService,
+          const std::string& aClass,
+          const RequestId& aRequest,
+          const std::string& aKey,
+          Duration aTimeout,
+          const std::string& aCaller)
+{
+  Host& host = mHosts[aHost];
+  const CallerHandle handle{ ++mLastHandle };
+  const size_t index = mCalls.size();
+  const ClassEntry* entry = mDirectory.mManifest->FindClass(aService, aClass);
+  const Duration timeout = aTimeout > Duration::zero()
+                             ? aTimeout
+                             : (entry ? entry->mTimeout : seconds(1));
+  mCalls.push_back({ .mOperation = aOperation,
+                     .mHandle = handle,
+                     .mHost = aHost,
+                     .mHostEpoch = host.mEpoch,
+                     .mKey = aKey,
+                     .mSent = mNow,
+                     .mDeadline = mNow + timeout });
+  mByHandle[handle.mValue] = index;
+  ++mCallsByRequest[aRequest];
+  CallerCall call{
+    .mCaller = handle,
+    .mRequest = aRequest,
+    .mCallerName = aCaller,
+    .mService = aService,
+    .mRequestClass = aClass,
+    .mTimeout = aTimeout,
+    .mKey = aKey,
+    .mHttp = { .mMethod = "POST",
+               .mPath = "/" + aService,
+               .mHeaders = { { "X-Copy", std::to_string(handle.mValue) } },
+               .mBody = std::to_string(aOperation) }
+  };
+  Post(aHost, host.mEpoch, [this, aHost, call = std::move(call)] {
+    Actions actions;
+    mHosts[aHost].mNode->CallArrived(mNow, call, actions);
+    Carry(aHost, std::move(actions));
+  });
+  return index;
+}
+
+void
+Sim::HangUp(size_t aCall)
+{
+  Sent& call = mCalls[aCall];
+  if (call.mAnswer || call.mGone) {
+    return;
+  }
+  call.mGone = true;
+  const size_t host = call.mHost;
+  const CallerHandle handle = call.mHandle;
+  Post(host, call.mHostEpoch, [this, host, handle] {
+    Actions actions;
+    mHosts[host].mNode->CallerGone(mNow, handle, actions);
+    Carry(host, std::move(actions));
+  });
+}
+
+void
+Sim::Answered(size_t aHost, const AnswerCaller& aAnswer)
+{
+  const auto child = mChildWaits.find(aAnswer.mCaller.mValue);
+  if (child != mChildWaits.end()) {
+    const ChildWait wait = child->second;
+    mChildWaits.erase(child);
+    if (aAnswer.mOutcome == Outcome::NotRun) {
+      for (const Run& run : mRuns) {
+        if (run.mCopy == wait.mCopy) {
+          mViolations.push_back("child call ran but was answered as not run: " +
+                                run.mOperation);
+        }
+      }
+    }
+    if (mHosts[wait.mHost].mEpoch == wait.mEpoch) {
+      ChildAnswered(wait.mHost, wait.mExecution, wait.mIndex, aAnswer);
+    }
+    return;
+  }
+  const auto it = mByHandle.find(aAnswer.mCaller.mValue);
+  if (it == mByHandle.end()) {
+    mViolations.push_back(fmt::format("answer to an unknown caller {} at {}",
+                                      aAnswer.mCaller.mValue,
+                                      mHosts[aHost].mId.mValue));
+    return;
+  }
+  Sent& call = mCalls[it->second];
+  if (call.mAnswer) {
+    mViolations.push_back(
+      fmt::format("second answer for operation {}", call.mOperation));
+    return;
+  }
+  call.mAnswer = aAnswer;
+  call.mAnswered = mNow;
+  if (mOnAnswer && !call.mGone) {
+    mOnAnswer(it->second);
+  }
+}
+
+// -- Observation ------------------------------------------------------------
+
+size_t
+Sim::RunsOf(const std::string& aOperation) const
+{
+  return size_t(std::count_if(mRuns.begin(), mRuns.end(), [&](const Run& aRun) {
+    return aRun.mOperation == aOperation;
+  }));
+}
+
+const ServiceModel&
+Sim::Model(const std::string& aService) const
+{
+  return *std::find_if(
+    mOptions.mServices.begin(),
+    mOptions.mServices.end(),
+    [&](const ServiceModel& aModel) { return aModel.mName == aService; });
+}
+
+std::string
+Sim::Expected(const std::string& aService, const std::string& aOperation) const
+{
+  std::string body = aService + ":" + aOperation + "(";
+  uint64_t index = 0;
+  for (const ServiceModel::Child& child : Model(aService).mChildren) {
+    for (uint32_t i = 0; i < child.mCount; ++i) {
+      body +=
+        Expected(child.mService, fmt::format("{}.{}", aOperation, index++));
+    }
+  }
+  return body + ")";
+}
+
+uint64_t
+Sim::CounterSum(const std::string& aName)
+{
+  uint64_t sum = 0;
+  for (Host& host : mHosts) {
+    if (host.mNode) {
+      const auto counters = host.mNode->GetStatus(mNow).mCounters;
+      const auto it = counters.find(aName);
+      sum += it == counters.end() ? 0 : it->second;
+    }
+  }
+  return sum;
+}
+
+} // namespace amaranthgap::sim
--- /dev/null
+++ b/libs/node/tests/Sim.h
@@ -0,0 +1,232 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "SimDirectory.h"
+#include "base/Rng.h"
+#include "node/NodeLogic.h"
+
+namespace amaranthgap::sim {
+
+using Node = NodeLogic<NullMutex>;
+
+/** Service of a simulation, with the child calls that each run makes. */
+struct ServiceModel
+{
+  struct Child
+  {
+    std::string mService;
+    std::string mRequestClass;
+    uint32_t mCount = 1;
+  };
+
+  std::string mName;
+  uint32_t mHosts = 3;
+  uint32_t mSlots = 8;
+  Duration mRun = milliseconds(5);
+  std::vector<Child> mChildren;
+};
+
+struct Faults
+{
+  double mLoss = 0;      ///< Share of messages that vanish.
+  double mDuplicate = 0; ///< Share that arrives twice.
+  double mDelay = 0;     ///< Share that arrives up to a second late.
+  Duration mLatency = microseconds(500);
+};
+
+struct Options
+{
+  uint64_t mSeed = 1;
+  std::vector<ServiceModel> mServices;
+  ManifestPtr mManifest;
+  Faults mFaults;
+  bool mPolicyOff = false;
+};
+
+/** What the model of an upstream is told to do besides its normal run. */
+struct Behaviour
+{
+  std::set<std::string> mPoison; ///< Operations that crash the upstream.
+  double mFailure = 0;           ///< Share of answers that are cut off.
+};
+
+/** One CallArrived of an external caller and its answer. */
+struct Sent
+{
+  uint64_t mOperation = 0;
+  CallerHandle mHandle;
+  size_t mHost = 0;
+  uint64_t mHostEpoch = 0;
+  std::string mKey;
+  TimePoint mSent;
+  TimePoint mDeadline;
+  bool mGone = false; ///< The caller has hung up or its host was lost.
+  std::optional<AnswerCaller> mAnswer;
+  TimePoint mAnswered;
+};
+
+/** One run of a request at an upstream. */
+struct Run
+{
+  std::string mOperation;
+  std::string mCopy;
+  RequestId mRequest;
+  size_t mHost = 0;
+  TimePoint mStarted;
+};
+
+/** Many nodes with their upstreams in one process, on a virtual clock and a
+ * network that loses, delays, repeats and reorders messages. All randomness
+ * comes from one seed. */
+class Sim
+{
+public:
+  struct Host
+  {
+    NodeId mId;
+    std::string mAddress;
+    std::string mService;
+    std::string mDataCentre;
+    std::unique_ptr<Node> mNode;
+    NodeRef mRef;
+    uint64_t mEpoch = 0; ///< Raised at each start and kill of the node.
+    bool mAlive = false;
+    bool mPaused = false;
+    bool mDraining = false;
+    std::vector<std::function<void()>> mHeld; ///< Events while paused.
+    int mPartition = 0;
+
+    // -- Upstream --
+    bool mUpstreamUp = false;
+    bool mUpstreamLeaving = false;
+    TimePoint mLeavingSince;
+    uint64_t mRun = 0;
+    uint32_t mCrashes = 0;
+    double mSlowness = 1;
+    struct Work
+    {
+      StartUpstream mStart;
+      std::string mOperation;
+      uint64_t mChildrenLeft = 0;
+      bool mFailed = false;
+      bool mCancelled = false;
+      std::map<uint64_t, std::string> mBodies;
+      uint64_t mEpoch = 0;
+    };
+    std::map<uint64_t, Work> mWork; ///< By execution.
+  };
+
+  explicit Sim(Options aOptions);
+  ~Sim();
+  Sim(const Sim&) = delete;
+  Sim& operator=(const Sim&) = delete;
+
+  // -- Time --
+  void After(Duration aDelay, std::function<void()> aEvent);
+  void RunFor(Duration aTime);
+  [[nodiscard]] TimePoint Now() const { return mNow; }
+  Rng& Random() { return mRng; }
+
+  // -- Faults --
+  void Kill(size_t aHost);
+  void Start(size_t aHost);
+  void Pause(size_t aHost);
+  void Resume(size_t aHost);
+  void Drain(size_t aHost);
+  void CrashUpstream(size_t aHost);
+  void StartUpstreamOf(size_t aHost);
+  void Partition(size_t aHost, int aPart);
+  Faults& NetworkFaults() { return mOptions.mFaults; }
+  Behaviour& Upstreams() { return mBehaviour; }
+  Directory& Members() { return mDirectory; }
+
+  // -- Callers --
+  /** Sends a request; the operation names its content.
+   * @return index into Calls. */
+  size_t Call(size_t aHost,
+              uint64_t aOperation,
+              const std::string& aService,
+              const std::string& aClass,
+              const RequestId& aRequest,
+              const std::string& aKey,
+              Duration aTimeout = {},
+              const std::string& aCaller = "web");
+  void HangUp(size_t aCall);
+  std::function<void(size_t)> mOnAnswer;
+
+  // -- Observation --
+  std::vector<Host>& Hosts() { return mHosts; }
+  std::vector<Sent>& Calls() { return mCalls; }
+  [[nodiscard]] const std::vector<Run>& Runs() const { return mRuns; }
+  [[nodiscard]] size_t RunsOf(const std::string& aOperation) const;
+  [[nodiscard]] const std::map<RequestId, uint64_t>& CallsByRequest() const
+  {
+    return mCallsByRequest;
+  }
+  std::vector<std::string>& Violations() { return mViolations; }
+  [[nodiscard]] std::string Expected(const std::string& aService,
+                                     const std::string& aOperation) const;
+  [[nodiscard]] uint64_t CounterSum(const std::string& aName);
+
+private:
+  void Post(size_t aHost, uint64_t aEpoch, std::function<void()> aEvent);
+  void Carry(size_t aHost, Actions aActions);
+  void Send(size_t aHost, SendMessage aSend);
+  void Transmit(size_t aFrom, size_t aTo, Envelope aEnvelope, Duration aDelay);
+  void ReportLost(size_t aHost, const NodeRef& aPeer, bool aNeverSent);
+  void Answered(size_t aHost, const AnswerCaller& aAnswer);
+  void TickHost(size_t aHost, uint64_t aEpoch);
+  void Announce(size_t aHost, uint64_t aEpoch);
+  void BeginWork(size_t aHost, StartUpstream aStart);
+  void CallChildren(size_t aHost, uint64_t aRun, uint64_t aExecution);
+  void ChildAnswered(size_t aHost,
+                     uint64_t aExecution,
+                     uint64_t aIndex,
+                     const AnswerCaller& aAnswer);
+  void EndWork(size_t aHost, uint64_t aRun, uint64_t aExecution);
+  void FailWork(size_t aHost, uint64_t aExecution, UpstreamFailure aFailure);
+  void CancelWork(size_t aHost, ExecutionId aExecution);
+  Host::Work* FindWork(size_t aHost, uint64_t aExecution);
+  [[nodiscard]] const ServiceModel& Model(const std::string& aService) const;
+
+  struct ChildWait
+  {
+    size_t mHost = 0;
+    uint64_t mEpoch = 0;
+    uint64_t mExecution = 0;
+    uint64_t mIndex = 0;
+    std::string mCopy;
+  };
+  struct Link
+  {
+    uint64_t mPeerEpoch = 0;
+    NodeRef mPeer;
+  };
+
+  Options mOptions;
+  Rng mRng;
+  TimePoint mNow{ seconds(1000) };
+  std::multimap<TimePoint, std::function<void()>> mEvents;
+  Directory mDirectory;
+  Behaviour mBehaviour;
+  std::vector<Host> mHosts;
+  std::map<std::string, size_t> mByAddress;
+  std::map<std::pair<size_t, size_t>, Link> mLinks; ///< Open streams.
+  std::vector<Sent> mCalls;
+  std::map<uint64_t, size_t> mByHandle;
+  std::map<uint64_t, ChildWait> mChildWaits;
+  std::vector<Run> mRuns;
+  std::map<RequestId, uint64_t> mCallsByRequest;
+  std::vector<std::string> mViolations;
+  uint64_t mLastHandle = 0;
+  uint64_t mLastIncarnation = 0;
+  uint64_t mLastSequence = 0;
+};
+
+} // namespace amaranthgap::sim
