--- /dev/null
+++ b/libs/server/src/HttpConnection.cpp
@@ -0,0 +1,110 @@
+#include "server/HttpConnection.h"
+
+#include <array>
+#include <cerrno>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace amaranthgap {
+
+HttpConnection::HttpConnection(int aSocket,
+                               uint64_t aId,
+                               RequestFramer::Limits aLimits)
+  : mSocket(aSocket)
+  , mId(aId)
+  , mFramer(aLimits)
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+  close(mSocket);
+}
+
+void
+HttpConnection::SetOnGone(std::function<void()> aOnGone)
+{
+  {
+    const std::scoped_lock lock(mMutex);
+    mOnGone = std::move(aOnGone);
+    if (!mGone || !mOnGone) {
+      return;
+    }
+    aOnGone = mOnGone;
+  }
+  aOnGone();
+}
+
+bool
+HttpConnection::IsGone()
+{
+  const std::scoped_lock lock(mMutex);
+  return mGone;
+}
+
+void
+HttpConnection::MarkGone()
+{
+  std::function<void()> onGone;
+  {
+    const std::scoped_lock lock(mMutex);
+    mGone = true;
+    onGone = mOnGone;
+  }
+  if (onGone) {
+    onGone();
+  }
+}
+
+HttpConnection::ReadResult
+HttpConnection::ReadAvailable(size_t aMaxBuffer)
+{
+  std::array<char, 16 * 1024> chunk; // NOLINT: filled by recv
+  while (mBuffer.size() < aMaxBuffer) {
+    const ssize_t n = recv(mSocket, chunk.data(), chunk.size(), MSG_DONTWAIT);
+    if (n > 0) {
+      mBuffer.append(chunk.data(), size_t(n));
+      if (size_t(n) < chunk.size()) {
+        return ReadResult::Drained;
+      }
+    } else if (n < 0 && errno == EINTR) {
+      continue;
+    } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      return ReadResult::Drained;
+    } else {
+      return ReadResult::Ended;
+    }
+  }
+  return ReadResult::Full;
+}
+
+bool
+HttpConnection::WriteAll(const std::string& aData, Duration aTimeout)
+{
+  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
+  size_t done = 0;
+  while (done < aData.size()) {
+    const ssize_t n = send(mSocket,
+                           aData.data() + done,
+                           aData.size() - done,
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n >= 0) {
+      done += size_t(n);
+      continue;
+    }
+    if (errno == EINTR) {
+      continue;
+    }
+    const auto left = ToMillis(deadline - std::chrono::steady_clock::now());
+    if ((errno != EAGAIN && errno != EWOULDBLOCK) || left <= 0) {
+      return false;
+    }
+    pollfd fd{ .fd = mSocket, .events = POLLOUT, .revents = 0 };
+    poll(&fd, 1, int(left));
+  }
+  return true;
+}
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/server/src/HttpListener.cpp
@@ -0,0 +1,520 @@
+#include "server/HttpListener.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace amaranthgap {
+
+namespace {
+
+// Holds the clients of a burst of connections; the library's own value is 5.
+constexpr int kBacklog = 1024;
+constexpr uint32_t kMinWorkers = 2;
+// A worker without work for this long ends when others remain.
+constexpr int kWorkerIdleMs = 10'000;
+// Time for a client to read a refusal before its connection is closed.
+constexpr Duration kLingerTime = seconds(2);
+constexpr uint64_t kStopEvent = 0;
+
+thread_local HttpResponse* tAnswer = nullptr;
+
+/** Runs accepted sockets on the accept thread: they only enter the epoll set.
+ */
+class InlineQueue : public httplib::TaskQueue
+{
+public:
+  void enqueue(std::function<void()> aTask) override // NOLINT: library name
+  {
+    aTask();
+  }
+  void shutdown() override {} // NOLINT: library name
+};
+
+/** Gives the library a bare request head and collects what it writes. The
+ * caller's own head is not passed in: the library would compress the answer or
+ * cut ranges out of it on behalf of headers meant for the upstream. */
+class AnswerStream : public httplib::Stream
+{
+public:
+  explicit AnswerStream(std::string aHead)
+    : mHead(std::move(aHead))
+  {
+  }
+
+  bool is_readable() const override { return mRead < mHead.size(); }
+  bool is_writable() const override { return true; }
+  ssize_t read(char* aData, size_t aSize) override
+  {
+    const size_t n = std::min(aSize, mHead.size() - mRead);
+    std::copy_n(mHead.data() + mRead, n, aData);
+    mRead += n;
+    return ssize_t(n);
+  }
+  ssize_t write(const char* aData, size_t aSize) override
+  {
+    mWritten.append(aData, aSize);
+    return ssize_t(aSize);
+  }
+  void get_remote_ip_and_port(std::string&, int&) const override {}
+  void get_local_ip_and_port(std::string&, int&) const override {}
+  // The library refuses sockets above FD_SETSIZE; none is behind this stream.
+  socket_t socket() const override { return -1; }
+
+  std::string mWritten;
+
+private:
+  std::string mHead;
+  size_t mRead = 0;
+};
+
+} // namespace
+
+HttpListener::HttpListener(Options aOptions,
+                           Handler aHandler,
+                           Refusal aRefusal)
+  : mOptions(std::move(aOptions))
+  , mHandler(std::move(aHandler))
+  , mRefusal(std::move(aRefusal))
+{
+  new_task_queue = [] { return new InlineQueue; };
+  set_keep_alive_max_count(1'000'000);
+  set_keep_alive_timeout(ToMillis(mOptions.mIdleTimeout) / 1000);
+  set_pre_routing_handler([](const httplib::Request&, httplib::Response& aOut) {
+    HttpResponse& answer = *tAnswer;
+    aOut.status = answer.mStatus;
+    for (auto& [name, value] : answer.mHeaders) {
+      aOut.headers.emplace(std::move(name), std::move(value));
+    }
+    aOut.body = std::move(answer.mBody);
+    return HandlerResponse::Handled;
+  });
+}
+
+HttpListener::~HttpListener()
+{
+  Stop(Duration::zero());
+}
+
+Status
+HttpListener::Start()
+{
+  const auto colon = mOptions.mAddress.rfind(':');
+  const std::string host = mOptions.mAddress.substr(0, colon);
+  int port = -1;
+  if (colon != std::string::npos) {
+    const char* first = mOptions.mAddress.data() + colon + 1;
+    std::from_chars(
+      first, mOptions.mAddress.data() + mOptions.mAddress.size(), port);
+  }
+  if (port < 0) {
+    return Error{ Step::Listen, mOptions.mAddress, "not an ip:port" };
+  }
+  // No SO_REUSEPORT, which the library sets by default: a second process on
+  // the port would take a part of the connections unnoticed.
+  set_socket_options([](socket_t aSocket) {
+    const int yes = 1;
+    setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  });
+  const bool bound = port == 0
+                       ? (mPort = bind_to_any_port(host)) > 0
+                       : bind_to_port(host, mPort = port);
+  if (!bound || ::listen(svr_sock_, kBacklog) != 0) {
+    return Error{ Step::Listen, mOptions.mAddress, "cannot bind the port" };
+  }
+  mEpoll = epoll_create1(EPOLL_CLOEXEC);
+  mAccepting = true;
+  mAcceptThread = std::thread([this] { listen_after_bind(); });
+  for (uint32_t n = 0; n < kMinWorkers; ++n) {
+    StartWorker();
+  }
+  // Stopping a server whose loop has not begun has no effect.
+  while (!is_running()) {
+    std::this_thread::yield();
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+HttpListener::StopAccepting()
+{
+  if (mAccepting.exchange(false)) {
+    stop();
+    mAcceptThread.join();
+  }
+}
+
+size_t
+HttpListener::Stop(Duration aGrace)
+{
+  StopAccepting();
+  const auto deadline = std::chrono::steady_clock::now() + aGrace;
+  while (mServing > 0 && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  const size_t cut = mServing;
+  std::vector<ConnectionPtr> open;
+  {
+    const std::scoped_lock lock(mMutex);
+    for (const auto& [id, connection] : mConnections) {
+      open.push_back(connection);
+    }
+  }
+  for (const auto& connection : open) {
+    ::shutdown(connection->mSocket, SHUT_RDWR);
+    connection->MarkGone();
+  }
+  if (mEpoll < 0) {
+    return cut;
+  }
+  // A level-triggered event that nobody takes wakes all workers.
+  mStopping = true;
+  int wake[2] = { -1, -1 };
+  if (pipe(wake) == 0) {
+    epoll_event event{ .events = EPOLLIN, .data = { .u64 = kStopEvent } };
+    epoll_ctl(mEpoll, EPOLL_CTL_ADD, wake[0], &event);
+    close(wake[1]);
+  }
+  std::unique_lock lock(mMutex);
+  mWorkerEnded.wait(lock, [this] { return mWorkers == 0; });
+  mConnections.clear();
+  close(wake[0]);
+  close(std::exchange(mEpoll, -1));
+  return cut;
+}
+
+void
+HttpListener::Sweep(TimePoint aNow)
+{
+  const std::scoped_lock lock(mMutex);
+  for (const auto& [id, connection] : mConnections) {
+    const std::scoped_lock inner(connection->mMutex);
+    if (connection->mState != HttpConnection::State::Serving &&
+        !connection->mTimedOut && connection->mDeadline < aNow) {
+      // The worker that is woken by this answers and closes.
+      connection->mTimedOut = true;
+      ::shutdown(connection->mSocket, SHUT_RD);
+    }
+  }
+}
+
+size_t
+HttpListener::GetConnectionCount()
+{
+  const std::scoped_lock lock(mMutex);
+  return mConnections.size();
+}
+
+// -- Connections ------------------------------------------------------------
+
+bool
+HttpListener::process_and_close_socket(socket_t aSocket)
+{
+  const int yes = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+  ConnectionPtr connection;
+  {
+    const std::scoped_lock lock(mMutex);
+    if (mConnections.size() < mOptions.mMaxConnections) {
+      connection =
+        std::make_shared<HttpConnection>(aSocket, mNextId++, mOptions.mLimits);
+      connection->mDeadline =
+        std::chrono::steady_clock::now() + mOptions.mIdleTimeout;
+      mConnections.emplace(connection->mId, connection);
+    }
+  }
+  if (!connection) {
+    ++mCounters.mRefusedConnections;
+    HttpConnection refused(aSocket, 0, mOptions.mLimits);
+    WriteAnswer(refused, mRefusal(503), false, true);
+    return false;
+  }
+  ++mCounters.mAccepted;
+  epoll_event event{ .events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT,
+                     .data = { .u64 = connection->mId } };
+  if (epoll_ctl(mEpoll, EPOLL_CTL_ADD, aSocket, &event) != 0) {
+    Remove(connection);
+  }
+  return true;
+}
+
+HttpListener::ConnectionPtr
+HttpListener::Find(uint64_t aId)
+{
+  const std::scoped_lock lock(mMutex);
+  const auto it = mConnections.find(aId);
+  return it == mConnections.end() ? nullptr : it->second;
+}
+
+void
+HttpListener::Remove(const ConnectionPtr& aConnection)
+{
+  // The socket is closed when the last reference goes, which also takes it out
+  // of the epoll set.
+  const std::scoped_lock lock(mMutex);
+  mConnections.erase(aConnection->mId);
+}
+
+void
+HttpListener::Arm(HttpConnection& aConnection, uint32_t aEvents)
+{
+  epoll_event event{ .events = aEvents | EPOLLONESHOT,
+                     .data = { .u64 = aConnection.mId } };
+  epoll_ctl(mEpoll, EPOLL_CTL_MOD, aConnection.mSocket, &event);
+}
+
+void
+HttpListener::SetState(HttpConnection& aConnection,
+                       HttpConnection::State aState,
+                       Duration aLimit)
+{
+  const std::scoped_lock lock(aConnection.mMutex);
+  aConnection.mState = aState;
+  aConnection.mDeadline = std::chrono::steady_clock::now() + aLimit;
+}
+
+// -- Workers ----------------------------------------------------------------
+
+void
+HttpListener::StartWorker()
+{
+  uint32_t n = mWorkers;
+  do {
+    if (n >= mOptions.mMaxWorkers || mStopping) {
+      return;
+    }
+  } while (!mWorkers.compare_exchange_weak(n, n + 1));
+  ++mIdleWorkers;
+  std::thread([this] { Work(); }).detach();
+}
+
+void
+HttpListener::Work()
+{
+  while (!mStopping) {
+    epoll_event event{};
+    const int n = epoll_wait(mEpoll, &event, 1, kWorkerIdleMs);
+    if (n == 0 && mIdleWorkers > kMinWorkers) {
+      break;
+    }
+    if (n <= 0 || event.data.u64 == kStopEvent) {
+      continue;
+    }
+    if (mIdleWorkers.fetch_sub(1) == 1) {
+      StartWorker();
+    }
+    TakeEvent(event.data.u64, event.events);
+    ++mIdleWorkers;
+  }
+  --mIdleWorkers;
+  const std::scoped_lock lock(mMutex);
+  --mWorkers;
+  mWorkerEnded.notify_all();
+}
+
+void
+HttpListener::TakeEvent(uint64_t aId, uint32_t aEvents)
+{
+  const ConnectionPtr connection = Find(aId);
+  if (!connection) {
+    return;
+  }
+  {
+    const std::scoped_lock lock(connection->mMutex);
+    if (connection->mHeld) {
+      connection->mAgain = true;
+    }
+    if (!connection->mHeld) {
+      connection->mHeld = true;
+      aEvents = 0;
+    }
+  }
+  if (aEvents != 0) {
+    // The event was armed for a client that disconnects while it is served; a
+    // request that has ended since then ignores it.
+    if ((aEvents & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+      ++mCounters.mGoneWhileServed;
+      connection->MarkGone();
+    }
+    return;
+  }
+  do {
+    if (!(connection->mState == HttpConnection::State::Closing
+            ? Discard(connection)
+            : Serve(connection))) {
+      return;
+    }
+  } while (!Release(*connection));
+}
+
+bool
+HttpListener::Release(HttpConnection& aConnection)
+{
+  // Armed under the lock, so that the next worker finds the connection free.
+  const std::scoped_lock lock(aConnection.mMutex);
+  if (std::exchange(aConnection.mAgain, false)) {
+    return false;
+  }
+  aConnection.mHeld = false;
+  Arm(aConnection, EPOLLIN | EPOLLRDHUP);
+  return true;
+}
+
+bool
+HttpListener::Discard(const ConnectionPtr& aConnection)
+{
+  aConnection->mBuffer.clear();
+  if (aConnection->ReadAvailable(mOptions.mLimits.mMaxBodyBytes) ==
+      HttpConnection::ReadResult::Ended) {
+    Remove(aConnection);
+    return false;
+  }
+  return true;
+}
+
+// Returns whether the connection stays open.
+bool
+HttpListener::Serve(const ConnectionPtr& aConnection)
+{
+  // Chunk lines take room beside the content.
+  const size_t maxBuffer =
+    mOptions.mLimits.mMaxHeaderBytes + 2 * mOptions.mLimits.mMaxBodyBytes;
+  const auto result = aConnection->ReadAvailable(maxBuffer);
+  bool ended = result == HttpConnection::ReadResult::Ended;
+  if (!ServeBuffered(aConnection, ended)) {
+    return aConnection->mState == HttpConnection::State::Closing;
+  }
+  bool timedOut = false;
+  {
+    const std::scoped_lock lock(aConnection->mMutex);
+    timedOut = aConnection->mTimedOut;
+  }
+  if (timedOut && !aConnection->mBuffer.empty()) {
+    ++mCounters.mSlowRequests;
+    return RefuseAndClose(aConnection, 408);
+  }
+  if (ended || timedOut) {
+    Remove(aConnection);
+    return false;
+  }
+  if (aConnection->mBuffer.size() >= maxBuffer) {
+    return RefuseAndClose(aConnection, 413);
+  }
+  return true;
+}
+
+bool
+HttpListener::ServeBuffered(const ConnectionPtr& aConnection, bool& aEnded)
+{
+  HttpConnection& connection = *aConnection;
+  while (true) {
+    switch (connection.mFramer.Advance(connection.mBuffer)) {
+      case RequestFramer::Verdict::Bad:
+        ++mCounters.mBadRequests;
+        RefuseAndClose(aConnection, connection.mFramer.BadStatus());
+        return false;
+      case RequestFramer::Verdict::NeedMore:
+        if (connection.mFramer.TakeExpectation() &&
+            !connection.WriteAll("HTTP/1.1 100 Continue\r\n\r\n",
+                                 mOptions.mWriteTimeout)) {
+          aEnded = true;
+        }
+        if (std::scoped_lock lock(connection.mMutex);
+            connection.mState == HttpConnection::State::Idle &&
+            !connection.mBuffer.empty()) {
+          connection.mState = HttpConnection::State::Reading;
+          connection.mDeadline =
+            std::chrono::steady_clock::now() + mOptions.mRequestTimeout;
+        }
+        return true;
+      case RequestFramer::Verdict::Complete:
+        break;
+    }
+    // A client that has closed its side does not wait for an answer.
+    if (aEnded) {
+      return true;
+    }
+    if (!ServeRequest(aConnection)) {
+      return false;
+    }
+  }
+}
+
+bool
+HttpListener::ServeRequest(const ConnectionPtr& aConnection)
+{
+  HttpConnection& connection = *aConnection;
+  SetState(connection, HttpConnection::State::Serving, Duration::zero());
+  Arm(connection, EPOLLRDHUP);
+  ++mServing;
+  const bool keep = connection.mFramer.KeepsAlive();
+  HttpRequest request = connection.mFramer.TakeRequest();
+  const bool head = request.mMethod == "HEAD";
+  HttpResponse response = mHandler(std::move(request), connection);
+  connection.SetOnGone({});
+  const bool close = !keep || !mAccepting || connection.IsGone();
+  const bool written = !connection.IsGone() &&
+                       WriteAnswer(connection, std::move(response), head, close);
+  connection.mBuffer.erase(0, connection.mFramer.Length());
+  connection.mFramer.Reset();
+  --mServing;
+  if (!written) {
+    Remove(aConnection);
+    return false;
+  }
+  if (close) {
+    Linger(aConnection);
+    return false;
+  }
+  SetState(connection, HttpConnection::State::Idle, mOptions.mIdleTimeout);
+  return true;
+}
+
+bool
+HttpListener::RefuseAndClose(const ConnectionPtr& aConnection, int aStatus)
+{
+  if (WriteAnswer(*aConnection, mRefusal(aStatus), false, true)) {
+    Linger(aConnection);
+    return true;
+  }
+  Remove(aConnection);
+  return false;
+}
+
+void
+HttpListener::Linger(const ConnectionPtr& aConnection)
+{
+  // Closing with unread input would reset the connection, and the client might
+  // lose the answer.
+  ::shutdown(aConnection->mSocket, SHUT_WR);
+  SetState(*aConnection, HttpConnection::State::Closing, kLingerTime);
+  {
+    const std::scoped_lock lock(aConnection->mMutex);
+    aConnection->mTimedOut = false;
+  }
+}
+
+bool
+HttpListener::WriteAnswer(HttpConnection& aConnection,
+                          HttpResponse aResponse,
+                          bool aHead,
+                          bool aClose)
+{
+  AnswerStream stream(aHead ? "HEAD / HTTP/1.1\r\n\r\n"
+                            : "GET / HTTP/1.1\r\n\r\n");
+  bool closed = false;
+  tAnswer = &aResponse;
+  const bool made = process_request(stream, aClose, closed, nullptr);
+  tAnswer = nullptr;
+  return made &&
+         aConnection.WriteAll(stream.mWritten, mOptions.mWriteTimeout);
+}
+
+} // namespace amaranthgap
