--- a/libs/server/src/CallerInterface.cpp
+++ b/libs/server/src/CallerInterface.cpp
@@ -166,8 +166,8 @@
 std::variant<CallerKeyRequest, Reason>
 ParseKeyRequest(const HttpRequest& aRequest)
 {
-  const auto question = std::min(aRequest.mPath.find('?'),
-                                 aRequest.mPath.size());
+  const auto question =
+    std::min(aRequest.mPath.find('?'), aRequest.mPath.size());
   const std::string query = aRequest.mPath.substr(question);
   CallerKeyRequest request{
     .mCallerName =
--- a/libs/server/src/CallerServer.cpp
+++ b/libs/server/src/CallerServer.cpp
@@ -41,12 +41,13 @@
 CallerServer::Options
 CallerServer::MakeOptions(const Settings& aSettings)
 {
-  const RequestFramer::Limits limits{
-    .mMaxHeaderBytes = aSettings.mMaxHeaderBytes, .mMaxBodyBytes = kMaxBody
-  };
+  const RequestFramer::Limits limits{ .mMaxHeaderBytes =
+                                        aSettings.mMaxHeaderBytes,
+                                      .mMaxBodyBytes = kMaxBody };
   return { .mCaller = { .mAddress = aSettings.mCallerAddress,
                         .mMaxConnections = aSettings.mMaxCallerConnections,
-                        .mMaxWorkers = aSettings.mMaxCallerCalls + kSpareWorkers,
+                        .mMaxWorkers =
+                          aSettings.mMaxCallerCalls + kSpareWorkers,
                         .mLimits = limits },
            .mLocal = { .mAddress = aSettings.mLocalAddress,
                        .mMaxConnections = aSettings.mMaxCallerConnections,
@@ -59,16 +60,18 @@
 CallerServer::CallerServer(Options aOptions, Hooks aHooks, Metrics& aMetrics)
   : mHooks(std::move(aHooks))
   , mMetrics(aMetrics)
-  , mCaller(std::move(aOptions.mCaller),
-            [this](HttpRequest aRequest, HttpConnection& aConnection) {
-              return ServeCaller(std::move(aRequest), aConnection);
-            },
-            RenderFaulty)
-  , mLocal(std::move(aOptions.mLocal),
-           [this](HttpRequest aRequest, HttpConnection& aConnection) {
-             return ServeLocal(std::move(aRequest), aConnection);
-           },
-           RenderFaulty)
+  , mCaller(
+      std::move(aOptions.mCaller),
+      [this](HttpRequest aRequest, HttpConnection& aConnection) {
+        return ServeCaller(std::move(aRequest), aConnection);
+      },
+      RenderFaulty)
+  , mLocal(
+      std::move(aOptions.mLocal),
+      [this](HttpRequest aRequest, HttpConnection& aConnection) {
+        return ServeLocal(std::move(aRequest), aConnection);
+      },
+      RenderFaulty)
 {
 }
 
@@ -164,8 +167,8 @@
   if (aRequest.mMethod != "GET" && aRequest.mMethod != "HEAD") {
     return RenderRefusal(405, Reason::BadRequest);
   }
-  const size_t question = std::min(aRequest.mPath.find('?'),
-                                   aRequest.mPath.size());
+  const size_t question =
+    std::min(aRequest.mPath.find('?'), aRequest.mPath.size());
   return mHooks.mOperator(path, aRequest.mPath.substr(question));
 }
 
@@ -188,8 +191,7 @@
   });
   mMetrics.CountAnswer(ToName(answer.mOutcome), ToName(answer.mReason));
   HttpResponse response = RenderAnswer(std::move(answer));
-  if (!trace.empty() &&
-      FindHeader(response.mHeaders, "traceparent").empty()) {
+  if (!trace.empty() && FindHeader(response.mHeaders, "traceparent").empty()) {
     response.mHeaders.emplace_back("traceparent", trace);
   }
   mMetrics.Observe(Latency::Call, std::chrono::steady_clock::now() - start);
--- a/libs/server/src/HttpFraming.cpp
+++ b/libs/server/src/HttpFraming.cpp
@@ -75,11 +75,14 @@
 bool
 EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
-  return std::equal(
-    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char a, char b) {
-      return std::tolower(static_cast<unsigned char>(a)) ==
-             std::tolower(static_cast<unsigned char>(b));
-    });
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](char a, char b) {
+                      return std::tolower(static_cast<unsigned char>(a)) ==
+                             std::tolower(static_cast<unsigned char>(b));
+                    });
 }
 
 std::string_view
@@ -121,8 +124,8 @@
   for (const auto& [name, value] : aHeaders) {
     const bool own = EqualsIgnoringCase(
       std::string_view(name).substr(0, kOwnPrefix.size()), kOwnPrefix);
-    const bool connection = std::any_of(
-      named.begin(), named.end(), [&name = name](auto aItem) {
+    const bool connection =
+      std::any_of(named.begin(), named.end(), [&name = name](auto aItem) {
         return EqualsIgnoringCase(aItem, name);
       });
     if (!own && !connection && !IsHopHeader(name)) {
@@ -235,9 +238,8 @@
   const auto method = aLine.substr(0, first);
   const auto target = aLine.substr(first + 1, last - first - 1);
   const auto version = aLine.substr(last + 1);
-  const bool plain = std::all_of(target.begin(), target.end(), [](char c) {
-    return c > ' ' && c < 0x7f;
-  });
+  const bool plain = std::all_of(
+    target.begin(), target.end(), [](char c) { return c > ' ' && c < 0x7f; });
   if (!IsToken(method) || !target.starts_with('/') || !plain) {
     return 400;
   }
--- a/libs/server/src/HttpListener.cpp
+++ b/libs/server/src/HttpListener.cpp
@@ -77,9 +77,7 @@
 
 } // namespace
 
-HttpListener::HttpListener(Options aOptions,
-                           Handler aHandler,
-                           Refusal aRefusal)
+HttpListener::HttpListener(Options aOptions, Handler aHandler, Refusal aRefusal)
   : mOptions(std::move(aOptions))
   , mHandler(std::move(aHandler))
   , mRefusal(std::move(aRefusal))
@@ -123,9 +121,8 @@
     const int yes = 1;
     setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
   });
-  const bool bound = port == 0
-                       ? (mPort = bind_to_any_port(host)) > 0
-                       : bind_to_port(host, mPort = port);
+  const bool bound = port == 0 ? (mPort = bind_to_any_port(host)) > 0
+                               : bind_to_port(host, mPort = port);
   if (!bound || ::listen(svr_sock_, kBacklog) != 0) {
     return Error{ Step::Listen, mOptions.mAddress, "cannot bind the port" };
   }
@@ -460,8 +457,9 @@
   HttpResponse response = mHandler(std::move(request), connection);
   connection.SetOnGone({});
   const bool close = !keep || !mAccepting || connection.IsGone();
-  const bool written = !connection.IsGone() &&
-                       WriteAnswer(connection, std::move(response), head, close);
+  const bool written =
+    !connection.IsGone() &&
+    WriteAnswer(connection, std::move(response), head, close);
   connection.mBuffer.erase(0, connection.mFramer.Length());
   connection.mFramer.Reset();
   --mServing;
@@ -513,8 +511,7 @@
   tAnswer = &aResponse;
   const bool made = process_request(stream, aClose, closed, nullptr);
   tAnswer = nullptr;
-  return made &&
-         aConnection.WriteAll(stream.mWritten, mOptions.mWriteTimeout);
+  return made && aConnection.WriteAll(stream.mWritten, mOptions.mWriteTimeout);
 }
 
 } // namespace amaranthgap
--- a/libs/server/src/Metrics.cpp
+++ b/libs/server/src/Metrics.cpp
@@ -11,9 +11,9 @@
 
 // Upper bounds in seconds, finer around the target for the added latency.
 const std::vector<double> kBounds{
-  0,     0.00002, 0.00005, 0.0001, 0.0002, 0.0003, 0.00042, 0.0006, 0.001,
-  0.002, 0.005,   0.01,    0.02,   0.05,   0.1,    0.2,     0.5,    1,
-  2,     5,       10,      30,
+  0,     0.00002, 0.00005, 0.0001, 0.0002, 0.0003, 0.00042, 0.0006,
+  0.001, 0.002,   0.005,   0.01,   0.02,   0.05,   0.1,     0.2,
+  0.5,   1,       2,       5,      10,     30,
 };
 
 } // namespace
@@ -78,8 +78,8 @@
     double total = 0;
     for (auto&& bin : boost::histogram::indexed(series.mHistogram)) {
       total += *bin;
-      aText.mText +=
-        fmt::format("{}_bucket{{le=\"{}\"}} {}\n", name, bin.bin().upper(), total);
+      aText.mText += fmt::format(
+        "{}_bucket{{le=\"{}\"}} {}\n", name, bin.bin().upper(), total);
     }
     total += series.mHistogram.at(series.mHistogram.axis().size());
     aText.mText += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2}\n"
@@ -90,11 +90,11 @@
   }
   const std::scoped_lock lock(mMutex);
   for (const auto& [key, count] : mAnswers) {
-    aText.Add("amaranthgap_answers_total",
-              "counter",
-              double(count),
-              fmt::format(
-                "outcome=\"{}\",reason=\"{}\"", key.first, key.second));
+    aText.Add(
+      "amaranthgap_answers_total",
+      "counter",
+      double(count),
+      fmt::format("outcome=\"{}\",reason=\"{}\"", key.first, key.second));
   }
 }
 
--- a/libs/server/src/NodeProcess.cpp
+++ b/libs/server/src/NodeProcess.cpp
@@ -280,8 +280,7 @@
 {
   TimePoint next = Now();
   for (uint64_t tick = 0; mTicking; ++tick) {
-    Dispatch(
-      [&](auto aNow, auto& aActions) { mLogic.Tick(aNow, aActions); });
+    Dispatch([&](auto aNow, auto& aActions) { mLogic.Tick(aNow, aActions); });
     TickShells(Now(), tick);
     // After a pause of the process the missed ticks are not made up for.
     next = std::max(next + kTick, Now());
@@ -396,8 +395,8 @@
       break;
     }
   }
-  const size_t external = mServer.Stop(
-    cause.empty() ? kWriteGrace : Duration::zero());
+  const size_t external =
+    mServer.Stop(cause.empty() ? kWriteGrace : Duration::zero());
   const size_t upstream = mUpstream.Stop();
   mLogger.Write(Now(),
                 LogLevel::Info,
--- a/libs/server/src/NodeProcessOperators.cpp
+++ b/libs/server/src/NodeProcessOperators.cpp
@@ -46,7 +46,8 @@
            { "ready", aStatus.mReady },
            { "draining", aStatus.mDraining },
            { "manifest_version", aStatus.mManifest.mVersion },
-           { "manifest_digest", fmt::format("{:016x}", aStatus.mManifest.mDigest) },
+           { "manifest_digest",
+             fmt::format("{:016x}", aStatus.mManifest.mDigest) },
            { "service", aStatus.mService },
            { "upstream", aStatus.mUpstreamState },
            { "in_flight", aStatus.mLoad.mInFlight },
@@ -87,13 +88,13 @@
 HttpResponse
 NodeProcess::RenderReady()
 {
-  const NodeStatus status =
-    mLogic.GetStatus(std::chrono::steady_clock::now());
+  const NodeStatus status = mLogic.GetStatus(std::chrono::steady_clock::now());
   const bool ready = status.mReady && !status.mDraining;
-  return RenderJson(ready ? 200 : 503,
-                    Dump({ { "ready", ready },
-                           { "draining", status.mDraining },
-                           { "manifest_version", status.mManifest.mVersion } }));
+  return RenderJson(
+    ready ? 200 : 503,
+    Dump({ { "ready", ready },
+           { "draining", status.mDraining },
+           { "manifest_version", status.mManifest.mVersion } }));
 }
 
 HttpResponse
@@ -158,8 +159,7 @@
 void
 NodeProcess::AddLogicMetrics(MetricsText& aText)
 {
-  const NodeStatus status =
-    mLogic.GetStatus(std::chrono::steady_clock::now());
+  const NodeStatus status = mLogic.GetStatus(std::chrono::steady_clock::now());
   const auto gauge = [&](const char* aName, double aValue) {
     aText.Add(fmt::format("amaranthgap_{}", aName), "gauge", aValue);
   };
@@ -204,7 +204,8 @@
             "gauge",
             double(mTransport.GetOpenConnectionCount()));
   counter("store_calls_total", mStore.GetCallCount());
-  aText.Add("amaranthgap_upstream_calls", "gauge", double(mUpstream.GetCallCount()));
+  aText.Add(
+    "amaranthgap_upstream_calls", "gauge", double(mUpstream.GetCallCount()));
   struct Port
   {
     const char* mName;
@@ -224,9 +225,8 @@
   each("connections", "gauge", [](Listener& aPort) {
     return aPort.GetConnectionCount();
   });
-  each("workers", "gauge", [](Listener& aPort) {
-    return aPort.GetWorkerCount();
-  });
+  each(
+    "workers", "gauge", [](Listener& aPort) { return aPort.GetWorkerCount(); });
   each("accepted_total", "counter", [](Listener& aPort) {
     return aPort.GetCounters().mAccepted.load();
   });
--- a/libs/server/src/PeerTransport.cpp
+++ b/libs/server/src/PeerTransport.cpp
@@ -24,7 +24,9 @@
 constexpr Duration kCompactInterval = seconds(5);
 
 bool
-SplitAddress(const std::string& aAddress, std::string& aHost, std::string& aPort)
+SplitAddress(const std::string& aAddress,
+             std::string& aHost,
+             std::string& aPort)
 {
   const auto colon = aAddress.rfind(':');
   if (colon == std::string::npos || colon + 1 == aAddress.size()) {
@@ -147,8 +149,7 @@
     socket(address.mStorage.ss_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
   // The receive call returns now and then to see the end of the transport.
   const timeval wait{ .tv_sec = 0, .tv_usec = 200'000 };
-  setsockopt(
-    mDatagramSocket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+  setsockopt(mDatagramSocket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
   if (bind(mDatagramSocket,
            reinterpret_cast<const sockaddr*>(&address.mStorage),
            address.mLength) != 0) {
@@ -351,8 +352,8 @@
   nng_dialer dialer = NNG_DIALER_INITIALIZER;
   return nng_socket_set_int(aSocket, NNG_OPT_SENDBUF, kSendBuffer) == 0 &&
          nng_socket_set_ms(aSocket, NNG_OPT_RECONNMINT, kNeverReconnect) == 0 &&
-         nng_pipe_notify(
-           aSocket, NNG_PIPE_EV_REM_POST, &OnPipeEvent, &aPeer) == 0 &&
+         nng_pipe_notify(aSocket, NNG_PIPE_EV_REM_POST, &OnPipeEvent, &aPeer) ==
+           0 &&
          nng_dialer_create(&dialer, aSocket, url.c_str()) == 0 &&
          nng_dialer_set_bool(dialer, NNG_OPT_TCP_KEEPALIVE, true) == 0 &&
          nng_dialer_start(dialer, 0) == 0;
@@ -365,8 +366,7 @@
   const bool opened = nng_push0_open(&socket) == 0;
   {
     const std::scoped_lock lock(aPeer.mMutex);
-    if (aPeer.mState != State::Connecting ||
-        nng_socket_id(aPeer.mSocket) > 0) {
+    if (aPeer.mState != State::Connecting || nng_socket_id(aPeer.mSocket) > 0) {
       nng_close(socket);
       return;
     }
@@ -402,8 +402,7 @@
   }
   if (lost) {
     // A socket cannot be closed on the thread of its own callback.
-    peer.mOwner->mReporter.Submit(
-      [&peer] { peer.mOwner->ReportLoss(peer); });
+    peer.mOwner->mReporter.Submit([&peer] { peer.mOwner->ReportLoss(peer); });
   }
 }
 
--- a/libs/server/src/UpstreamClient.cpp
+++ b/libs/server/src/UpstreamClient.cpp
@@ -40,9 +40,8 @@
   auto state = std::make_shared<Call>();
   mCalls.insert({ aCall.mExecution.mValue, state });
   const auto now = std::chrono::steady_clock::now();
-  mPool.Submit([this, call = std::move(aCall), state, now] {
-    Run(call, state, now);
-  });
+  mPool.Submit(
+    [this, call = std::move(aCall), state, now] { Run(call, state, now); });
 }
 
 void
--- a/libs/server/src/UpstreamConnection.cpp
+++ b/libs/server/src/UpstreamConnection.cpp
@@ -98,9 +98,9 @@
   {
     while (mSent < mRequest.size()) {
       const ssize_t n = ::send(mSocket,
-                             mRequest.data() + mSent,
-                             mRequest.size() - mSent,
-                             MSG_DONTWAIT | MSG_NOSIGNAL);
+                               mRequest.data() + mSent,
+                               mRequest.size() - mSent,
+                               MSG_DONTWAIT | MSG_NOSIGNAL);
       if (n >= 0) {
         mSent += size_t(n);
       } else if (errno == EAGAIN) {
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -205,8 +205,8 @@
   }
   const std::string_view content = aBytes.substr(0, aBytes.size() - kTagBytes);
   const Tag tag = MakeTag(content);
-  if (CRYPTO_memcmp(
-        tag.data(), aBytes.data() + content.size(), tag.size()) != 0) {
+  if (CRYPTO_memcmp(tag.data(), aBytes.data() + content.size(), tag.size()) !=
+      0) {
     return Rejection::BadTag;
   }
   try {
@@ -214,9 +214,12 @@
       return true;
     };
     const msgpack::object_handle handle = msgpack::unpack(
-      content.data(), content.size(), byReference, nullptr,
-      msgpack::unpack_limit(100'000, 1'000, kLargestMessage, kLargestMessage,
-                            kLargestMessage, 32));
+      content.data(),
+      content.size(),
+      byReference,
+      nullptr,
+      msgpack::unpack_limit(
+        100'000, 1'000, kLargestMessage, kLargestMessage, kLargestMessage, 32));
     const msgpack::object& root = handle.get();
     Envelope envelope;
     size_t kind = 0;
