--- a/libs/platform/tests/ScriptedServer.cpp
+++ b/libs/platform/tests/ScriptedServer.cpp
@@ -21,7 +21,7 @@
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
-  ::bind(mListener, generic, size);
+  (void)::bind(mListener, generic, size);
   ::listen(mListener, 8);
   ::getsockname(mListener, generic, &size);
   mPort = ntohs(address.sin_port);
--- /dev/null
+++ b/standins/tests/FreePort.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace amaranthgap {
+
+/** @return a loopback address whose port was free a moment ago. */
+std::string
+FreeAddress();
+
+} // namespace amaranthgap
