Compare member pages even when neighbours share the gap

Matches with neighbours that had the same gap reset the wait for push-pull, so that halves of a fleet could stay apart (schedule seed 49). A joining node now also receives pages that hold dead members only, which the digests do not cover; otherwise it did not learn of a higher incarnation of its own (seeds 73, 180).

--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -246,10 +246,8 @@
   TimePoint mNextRecheck{};
   TimePoint mNextForget{};
   TimePoint mNextSync{};
-  TimePoint mDiffersSince{};
-  TimePoint mLastMatch{};
   TimePoint mLastChange{};
-  bool mDiffers = false;
+  uint32_t mMismatches = 0;
   double mPageBytes = kPageBytesBurst;
   TimePoint mPageBytesAt{};
 };
--- a/libs/membership/src/Membership.cpp
+++ b/libs/membership/src/Membership.cpp
@@ -80,7 +80,7 @@
     suspicion.mUntil += aPause;
   }
   mNextProbe = aNow;
-  mDiffers = false;
+  mMismatches = 0;
   if (mAnnounced && aPause > mOptions.mSuspicion && !mTable.Live().empty()) {
     mStale = true;
     mStaleUntil = aNow + kStaleLimit;
--- a/libs/membership/src/MembershipSync.cpp
+++ b/libs/membership/src/MembershipSync.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-/** Differences that remain this long after the last change are not updates
- * under way but missed ones. */
+/** Pages are compared after this many more mismatches than matches. While
+ * updates are still arriving, a mismatch mostly means one that is under way. */
+constexpr uint32_t kMismatches = 3;
+constexpr uint32_t kMismatchesInChange = 12;
 constexpr Duration kQuiet = seconds(2);
-constexpr Duration kLongDifference = seconds(5);
 constexpr Duration kSyncPeriod = seconds(2);
 
 /** Most pages sent to an announced member in one exchange. After a partition
@@ -84,18 +85,15 @@
   if (!mOptions.mPushPull || !mAnnounced) {
     return;
   }
+  // Neighbours with the same gap match, so that a match only lowers the score.
   if (aDigest == Digest()) {
-    mDiffers = false;
+    mMismatches -= mMismatches > 0 ? 1 : 0;
     return;
   }
-  if (!mDiffers) {
-    mDiffers = true;
-    mDiffersSince = aNow;
-  }
-  const Duration differs = aNow - mDiffersSince;
-  const bool quiet =
-    aNow - mLastChange >= kQuiet && differs >= mOptions.mProbePeriod;
-  if (aNow >= mNextSync && (quiet || differs >= kLongDifference)) {
+  mMismatches = std::min(mMismatches + 1, kMismatchesInChange);
+  const bool quiet = aNow - mLastChange >= kQuiet;
+  if (aNow >= mNextSync &&
+      mMismatches >= (quiet ? kMismatches : kMismatchesInChange)) {
     mNextSync = aNow + FromSeconds(ToSeconds(kSyncPeriod) * mRng.Uniform(1, 2));
     SendDigest(aFrom.mFrom, aFrom.mFromAddress, true, aOut);
   }
@@ -126,12 +124,16 @@
     return;
   }
   std::vector<uint32_t> differing;
+  // The digests do not cover dead members, of which a new node must know, above
+  // all an earlier incarnation of its own with a higher number.
   for (uint32_t i = 0; i < own.size(); ++i) {
-    if (own[i] != aDigest.mPages[i]) {
+    if (own[i] != aDigest.mPages[i] ||
+        (aDigest.mJoining && !mTable.Page(i).empty())) {
       differing.push_back(i);
     }
   }
   if (!aDigest.mReply && !aDigest.mJoining) {
+    mMismatches = 0;
     mSynchronised = mSynchronised || differing.size() <= kSynchronisedPages;
   }
   if (!mAnnounced) {
--- a/libs/node/tests/ControlFleet.h
+++ b/libs/node/tests/ControlFleet.h
@@ -102,7 +102,7 @@
     }
     // Start time in ms with random low bits, as the node process makes it.
     const auto millis =
-      uint64_t(ToMillis((mNow + aClockOffset).time_since_epoch())) + 1'000'000;
+      uint64_t(ToMillis((mNow + aClockOffset).time_since_epoch())) + 1'000'000'000;
     slot.mLogic = std::make_unique<ControlLogic>(ControlLogic::Options{
       .mSelf = { { slot.mId }, { millis * 1024 + mRng.Below(1024) } },
       .mRegion = slot.mRegion,
@@ -237,6 +237,12 @@
     return mViolations;
   }
 
+  void Violate(const Slot& aSlot, const std::string& aWhat)
+  {
+    mViolations.push_back(aSlot.mId + ": " + aWhat + " at " +
+                          std::to_string(ToMillis(mNow - kStart)) + " ms");
+  }
+
   [[nodiscard]] bool IsRunning(uint32_t aSlot) const
   {
     return mSlots[aSlot].mUp && !mSlots[aSlot].mPaused;
@@ -309,6 +315,40 @@
     return true;
   }
 
+  /** @return the state of each slot and where its view is wrong. */
+  std::string Describe()
+  {
+    std::string text;
+    for (uint32_t i = 0; i < mSlots.size(); ++i) {
+      auto& slot = mSlots[i];
+      text += slot.mId + (slot.mUp ? " up" : " down") +
+              (slot.mPaused ? " paused" : "");
+      if (slot.mUp) {
+        text += std::string(slot.mLogic->IsReady() ? " ready" : "") +
+                (slot.mLogic->IsSuperseded() ? " superseded" : "") + " inc " +
+                std::to_string(slot.mLogic->Self().mIncarnation.mValue) +
+                " version " + std::to_string(slot.mStamp.mVersion);
+        for (const auto& update : slot.mLogic->Members()) {
+          const auto of = mByAddress.find(update.mPeerAddress);
+          const bool live = update.mState != MemberState::Dead &&
+                            update.mState != MemberState::Left;
+          const bool right =
+            of != mByAddress.end() && live == IsRunning(of->second) &&
+            (!live ||
+             update.mNode == mSlots[of->second].mLogic->Self());
+          if (!right || update.mState == MemberState::Suspect) {
+            text += "; " + update.mNode.mId.mValue + " " +
+                    std::string(ToName(update.mState)) + " inc " +
+                    std::to_string(update.mNode.mIncarnation.mValue) +
+                    " ref " + std::to_string(update.mRefutation);
+          }
+        }
+      }
+      text += "\n";
+    }
+    return text;
+  }
+
   /** @return whether all running nodes have this version in force. */
   bool IsInForce(uint64_t aVersion)
   {
@@ -332,6 +372,7 @@
 
   /** Cut between two slots; checked at the sending and at the delivery. */
   std::function<bool(uint32_t, uint32_t)> mCut;
+  std::function<void(const Slot&)> mOnReady;
   bool mStoreDown = false;
   double mStoreLoseAnswer = 0;
   double mStoreSlow = 0; ///< Share of store calls that time out by slowness.
@@ -575,20 +616,20 @@
     if (ready && !aSlot.mWasReady) {
       aSlot.mWasReady = true;
       aSlot.mReadyVersion = stamp.mVersion;
+      if (mOnReady) {
+        mOnReady(aSlot);
+      }
     }
     if (ready) {
       aSlot.mSlotVersion = std::max(aSlot.mSlotVersion, stamp.mVersion);
     }
   }
 
-  void Violate(const Slot& aSlot, const std::string& aWhat)
-  {
-    mViolations.push_back(aSlot.mId + ": " + aWhat);
-  }
+  static constexpr TimePoint kStart{ seconds(1000) };
 
   Options mOptions;
   Rng mRng;
-  TimePoint mNow{ seconds(1000) };
+  TimePoint mNow = kStart;
   std::vector<Slot> mSlots;
   std::unordered_map<std::string, uint32_t> mByAddress;
   std::priority_queue<Event> mEvents;
