--- a/libs/membership/src/MembershipUpdate.cpp
+++ b/libs/membership/src/MembershipUpdate.cpp
@@ -163,15 +163,18 @@
   if (claimed < mSelf.mNode.mIncarnation || !mAnnounced || !mOptions.mRefute) {
     return;
   }
-  const bool accused =
-    IsAccusation(aUpdate.mState) && aUpdate.mRefutation >= mSelf.mRefutation;
-  if (!accused && aUpdate.mRefutation <= mSelf.mRefutation) {
+  const bool accusation = IsAccusation(aUpdate.mState);
+  const bool accused = accusation && aUpdate.mRefutation >= mSelf.mRefutation;
+  if (!accusation && aUpdate.mRefutation <= mSelf.mRefutation) {
     return;
   }
-  mSelf.mRefutation = aUpdate.mRefutation;
-  ChangeSelf(aOut,
-             "refuted to be " + std::string(ToName(aUpdate.mState)) + " for " +
-               aFrom.mFrom.mId.mValue);
+  if (accused || aUpdate.mRefutation > mSelf.mRefutation) {
+    mSelf.mRefutation = aUpdate.mRefutation;
+    ChangeSelf(aOut,
+               "refuted to be " + std::string(ToName(aUpdate.mState)) +
+                 " for " + aFrom.mFrom.mId.mValue);
+  }
+  // An accuser that missed an earlier refutation needs the answer as well.
   // The accuser stops its timer at once, without waiting for gossip.
   aOut.mSends.push_back({ .mTo = aFrom.mFrom,
                           .mAddress = aFrom.mFromAddress,
--- a/libs/node/include/node/ControlLogic.h
+++ b/libs/node/include/node/ControlLogic.h
@@ -86,6 +86,11 @@
   [[nodiscard]] MemberListPtr TakeMembers();
   [[nodiscard]] ManifestStamp Stamp() const;
   [[nodiscard]] std::vector<MemberUpdate> Members() const;
+  /** @return the entry of another node, or null when it is not known. Valid
+   * until the next event. */
+  [[nodiscard]] const MemberUpdate* FindMember(const NodeId& aNode) const;
+  /** @return the number of other nodes that are live. */
+  [[nodiscard]] size_t LiveMembers() const;
   /** @return whether this node watches the store for its data centre. */
   [[nodiscard]] bool IsWatcher() const;
 
--- a/libs/node/src/ControlLogic.cpp
+++ b/libs/node/src/ControlLogic.cpp
@@ -544,6 +544,20 @@
   return members;
 }
 
+const MemberUpdate*
+ControlLogic::FindMember(const NodeId& aNode) const
+{
+  const auto& table = mParts->mMembership.Table();
+  const uint32_t index = table.Find(aNode);
+  return index == MemberTable::kNone ? nullptr : &table.At(index).mUpdate;
+}
+
+size_t
+ControlLogic::LiveMembers() const
+{
+  return mParts->mMembership.Table().Live().size();
+}
+
 bool
 ControlLogic::IsWatcher() const
 {
--- a/libs/node/src/JoinLogic.cpp
+++ b/libs/node/src/JoinLogic.cpp
@@ -21,7 +21,9 @@
 constexpr Duration kReport = seconds(2);
 
 constexpr Duration kRefreshPeriod = seconds(30);
-constexpr Duration kAlonePeriod = seconds(10);
+
+/** A node without other members looks for some this often. */
+constexpr Duration kAlonePeriod = seconds(4);
 
 } // namespace
 
@@ -38,6 +40,15 @@
                                      : "seeds-fleet";
 }
 
+Duration
+JoinLogic::RefreshPause(const Membership& aMembership) const
+{
+  if (!mOver) {
+    return milliseconds(500);
+  }
+  return aMembership.Table().Live().empty() ? kAlonePeriod : kRefreshPeriod;
+}
+
 void
 JoinLogic::NextScope(TimePoint aNow, Duration aPause)
 {
@@ -235,7 +246,7 @@
     seeds.mAddresses.push_back(mOptions.mAddress);
   }
   if (seeds.mAddresses == known.mSeeds.mAddresses) {
-    NextScope(aNow, mOver ? kRefreshPeriod : Duration(milliseconds(500)));
+    NextScope(aNow, RefreshPause(aMembership));
     return;
   }
   known.mSeeds = seeds;
--- a/libs/node/src/JoinLogic.h
+++ b/libs/node/src/JoinLogic.h
@@ -76,6 +76,7 @@
              const Membership& aMembership,
              StoreCalls& aStore,
              Actions& aActions);
+  [[nodiscard]] Duration RefreshPause(const Membership& aMembership) const;
   void NextScope(TimePoint aNow, Duration aPause);
 
   Options mOptions;
--- a/libs/node/tests/ControlFleet.h
+++ b/libs/node/tests/ControlFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -55,7 +56,7 @@
     std::vector<AuditEntry> mAudit;
     ManifestStamp mStamp;
     bool mWasReady = false;
-    uint64_t mSlotVersion = 0; ///< Highest version in force in this slot.
+    uint64_t mSlotVersion = 0;  ///< Highest version in force in this slot.
     uint64_t mReadyVersion = 0; ///< Version when it became ready.
     uint64_t mBytes = 0;
     uint64_t mMessages = 0;
@@ -73,11 +74,10 @@
       const uint32_t dataCentre = i % mOptions.mDataCentres;
       slot.mId = "host-" + std::to_string(i);
       slot.mAddress = "10." + std::to_string(dataCentre) + "." +
-                      std::to_string(i / 250) + "." +
-                      std::to_string(i % 250) + ":7000";
+                      std::to_string(i / 250) + "." + std::to_string(i % 250) +
+                      ":7000";
       slot.mDataCentre = "dc-" + std::to_string(dataCentre);
-      slot.mRegion =
-        "region-" + std::to_string(dataCentre % mOptions.mRegions);
+      slot.mRegion = "region-" + std::to_string(dataCentre % mOptions.mRegions);
       mByAddress[slot.mAddress] = i;
     }
   }
@@ -102,7 +102,8 @@
     }
     // Start time in ms with random low bits, as the node process makes it.
     const auto millis =
-      uint64_t(ToMillis((mNow + aClockOffset).time_since_epoch())) + 1'000'000'000;
+      uint64_t(ToMillis((mNow + aClockOffset).time_since_epoch())) +
+      1'000'000'000;
     slot.mLogic = std::make_unique<ControlLogic>(ControlLogic::Options{
       .mSelf = { { slot.mId }, { millis * 1024 + mRng.Below(1024) } },
       .mRegion = slot.mRegion,
@@ -173,20 +174,17 @@
   PublishReport Publish(const std::string& aId)
   {
     ++mPublished;
-    mEntries["limits/max_retries_per_request"] =
-      std::to_string(mPublished % 9);
-    mEntries["callers/c" + std::to_string(mPublished % 50)] =
-      "party-" + aId;
+    mEntries["limits/max_retries_per_request"] = std::to_string(mPublished % 9);
+    mEntries["callers/c" + std::to_string(mPublished % 50)] = "party-" + aId;
     uint64_t fleet = 0;
     for (int i = 0; i < 5; ++i) {
       const auto& slot = mSlots[mRng.Below(mSlots.size())];
       fleet = std::max(fleet, slot.mUp ? slot.mStamp.mVersion : 0);
     }
-    auto report = PublishManifest(mStore,
-                                  mEntries,
-                                  { .mPublisher = "operator",
-                                    .mPublishId = aId,
-                                    .mFleetVersion = fleet });
+    auto report = PublishManifest(
+      mStore,
+      mEntries,
+      { .mPublisher = "operator", .mPublishId = aId, .mFleetVersion = fleet });
     WakeWatches();
     return report;
   }
@@ -248,20 +246,6 @@
     return mSlots[aSlot].mUp && !mSlots[aSlot].mPaused;
   }
 
-  /** @return what one node holds of another slot, or nothing. */
-  std::optional<MemberUpdate> View(uint32_t aViewer, uint32_t aOf)
-  {
-    if (!mSlots[aViewer].mLogic) {
-      return std::nullopt;
-    }
-    for (auto& update : mSlots[aViewer].mLogic->Members()) {
-      if (update.mNode.mId.mValue == mSlots[aOf].mId) {
-        return update;
-      }
-    }
-    return std::nullopt;
-  }
-
   /** @return number of running nodes for which the check on their entry of the
    * slot fails. */
   size_t Dissenters(uint32_t aOf,
@@ -272,8 +256,8 @@
       if (i == aOf || !IsRunning(i)) {
         continue;
       }
-      const auto view = View(i, aOf);
-      count += aCheck(view ? &*view : nullptr) ? 0 : 1;
+      count +=
+        aCheck(mSlots[i].mLogic->FindMember({ mSlots[aOf].mId })) ? 0 : 1;
     }
     return count;
   }
@@ -282,33 +266,28 @@
    * incarnations as live members. */
   bool IsAgreed()
   {
-    std::set<NodeRef> truth;
-    for (auto& slot : mSlots) {
-      if (slot.mUp && !slot.mPaused) {
-        truth.insert(slot.mLogic->Self());
-      }
+    size_t running = 0;
+    for (uint32_t i = 0; i < mSlots.size(); ++i) {
+      running += IsRunning(i) ? 1 : 0;
     }
-    for (auto& slot : mSlots) {
-      if (!slot.mUp || slot.mPaused) {
-        continue;
-      }
-      if (!slot.mLogic->IsReady()) {
+    // Counts first, since comparing all pairs is slow in a large fleet.
+    for (uint32_t i = 0; i < mSlots.size(); ++i) {
+      if (IsRunning(i) && (!mSlots[i].mLogic->IsReady() ||
+                           mSlots[i].mLogic->LiveMembers() + 1 != running)) {
         return false;
       }
-      size_t live = 0;
-      for (const auto& update : slot.mLogic->Members()) {
-        const bool isLive = update.mState != MemberState::Dead &&
-                            update.mState != MemberState::Left;
-        if (!isLive) {
-          continue;
-        }
-        if (update.mState == MemberState::Suspect ||
-            !truth.contains(update.mNode)) {
-          return false;
-        }
-        ++live;
+    }
+    for (uint32_t i = 0; i < mSlots.size(); ++i) {
+      if (!IsRunning(i)) {
+        continue;
       }
-      if (live != truth.size()) {
+      const auto self = mSlots[i].mLogic->Self();
+      if (Dissenters(i, [&](const MemberUpdate* aUpdate) {
+            return aUpdate != nullptr && aUpdate->mNode == self &&
+                   aUpdate->mState != MemberState::Suspect &&
+                   aUpdate->mState != MemberState::Dead &&
+                   aUpdate->mState != MemberState::Left;
+          }) != 0) {
         return false;
       }
     }
@@ -334,13 +313,12 @@
                             update.mState != MemberState::Left;
           const bool right =
             of != mByAddress.end() && live == IsRunning(of->second) &&
-            (!live ||
-             update.mNode == mSlots[of->second].mLogic->Self());
+            (!live || update.mNode == mSlots[of->second].mLogic->Self());
           if (!right || update.mState == MemberState::Suspect) {
             text += "; " + update.mNode.mId.mValue + " " +
                     std::string(ToName(update.mState)) + " inc " +
-                    std::to_string(update.mNode.mIncarnation.mValue) +
-                    " ref " + std::to_string(update.mRefutation);
+                    std::to_string(update.mNode.mIncarnation.mValue) + " ref " +
+                    std::to_string(update.mRefutation);
           }
         }
       }
@@ -373,6 +351,7 @@
   /** Cut between two slots; checked at the sending and at the delivery. */
   std::function<bool(uint32_t, uint32_t)> mCut;
   std::function<void(const Slot&)> mOnReady;
+  bool mTrace = false; ///< Prints all audit entries.
   bool mStoreDown = false;
   double mStoreLoseAnswer = 0;
   double mStoreSlow = 0; ///< Share of store calls that time out by slowness.
@@ -429,17 +408,18 @@
   void Deliver(uint32_t aSlot, Duration aDelay, std::function<void()> aWork)
   {
     const uint64_t run = mSlots[aSlot].mRun;
-    After(aDelay + mSlots[aSlot].mSlow, [this, aSlot, run, work = std::move(aWork)] {
-      auto& slot = mSlots[aSlot];
-      if (slot.mRun != run || !slot.mUp) {
-        return;
-      }
-      if (slot.mPaused) {
-        slot.mHeld.push_back(work);
-      } else {
-        work();
-      }
-    });
+    After(aDelay + mSlots[aSlot].mSlow,
+          [this, aSlot, run, work = std::move(aWork)] {
+            auto& slot = mSlots[aSlot];
+            if (slot.mRun != run || !slot.mUp) {
+              return;
+            }
+            if (slot.mPaused) {
+              slot.mHeld.push_back(work);
+            } else {
+              work();
+            }
+          });
   }
 
   void ScheduleTick(uint32_t aSlot, Duration aDelay)
@@ -464,6 +444,16 @@
         ++slot.mStoreCalls;
         CallStore(aSlot, call->mCall, std::move(call->mRequest));
       } else if (auto* entry = std::get_if<AuditEntry>(&action)) {
+        if (mTrace) {
+          std::fprintf(stderr,
+                       "%ld ms %s: %s %s: %s (%s)\n",
+                       long(ToMillis(mNow - kStart)),
+                       slot.mId.c_str(),
+                       std::string(ToName(entry->mKind)).c_str(),
+                       entry->mSubject.c_str(),
+                       entry->mCause.c_str(),
+                       entry->mPeer.c_str());
+        }
         slot.mAudit.push_back(std::move(*entry));
       }
     }
@@ -538,8 +528,8 @@
       Answer(aSlot,
              aCall,
              mStoreDown ? delay : aRequest.mTimeout,
-             { .mVerdict = mStoreDown ? StoreVerdict::NotDone
-                                      : StoreVerdict::Unclear,
+             { .mVerdict =
+                 mStoreDown ? StoreVerdict::NotDone : StoreVerdict::Unclear,
                .mDetail = "store down" });
       return;
     }
