Drive the node simulation with the real control side

The stand-in of ControlLogic goes; the simulation now has a store with watches and publishes its manifest as an operator does. NodeLogic gives its identity and manifest version without building a whole status.

--- a/libs/node/include/node/NodeLogic.h
+++ b/libs/node/include/node/NodeLogic.h
@@ -28,6 +28,7 @@
   std::string mPeerAddress;
   std::vector<std::string> mStaticPeers;
   std::string mKeySecret; ///< Authenticates issued idempotency keys.
+  bool mHasStore = true;
   uint32_t mEntryShards = 4;
   uint32_t mMaxExternalCalls = 512;
   uint32_t mMaxUpstreamCalls = 256;
@@ -131,6 +132,10 @@
 
   // -- Operators --
 
+  /** @return own identity; the incarnation may still rise while joining. */
+  [[nodiscard]] NodeRef Self();
+  /** @return version of the manifest in force, 0 without one. */
+  [[nodiscard]] uint64_t Version();
   [[nodiscard]] NodeStatus GetStatus(TimePoint aNow);
   [[nodiscard]] std::vector<ExplainStep> Explain(const RequestId& aRequest);
 
--- a/libs/node/src/NodeLogic.cpp
+++ b/libs/node/src/NodeLogic.cpp
@@ -65,6 +65,7 @@
            .mDataCentre = aOptions.mDataCentre,
            .mPeerAddress = aOptions.mPeerAddress,
            .mStaticPeers = aOptions.mStaticPeers,
+           .mHasStore = aOptions.mHasStore,
            .mSeed = aOptions.mSeed };
 }
 
@@ -488,13 +489,10 @@
     mParts->Count("dropped_wrong_node");
     return;
   }
-  if (aEnvelope.mMessage.index() >= kFirstControlKind) {
-    mParts->RunControl(aNow, aActions, [&](ControlLogic& aControl) {
-      aControl.MessageArrived(aNow, aEnvelope, aActions);
-    });
-    return;
-  }
-  if (aEnvelope.mTo.mIncarnation != self.mIncarnation) {
+  const bool isControl = aEnvelope.mMessage.index() >= kFirstControlKind;
+  const bool isUnaddressed =
+    isControl && aEnvelope.mTo.mIncarnation.mValue == 0;
+  if (aEnvelope.mTo.mIncarnation != self.mIncarnation && !isUnaddressed) {
     mParts->Count("dropped_wrong_incarnation");
     if (const auto* call = std::get_if<CallMessage>(&aEnvelope.mMessage)) {
       aActions.emplace_back(SendMessage{
@@ -505,6 +503,12 @@
     }
     return;
   }
+  if (isControl) {
+    mParts->RunControl(aNow, aActions, [&](ControlLogic& aControl) {
+      aControl.MessageArrived(aNow, aEnvelope, aActions);
+    });
+    return;
+  }
   Effects effects;
   mParts->Deliver(aNow,
                   { aEnvelope.mFrom,
@@ -661,6 +665,21 @@
 
 // -- Operators --------------------------------------------------------------
 
+template<class Mutex>
+NodeRef
+NodeLogic<Mutex>::Self()
+{
+  return mParts->Facts().mSelf;
+}
+
+template<class Mutex>
+uint64_t
+NodeLogic<Mutex>::Version()
+{
+  const ManifestPtr manifest = mParts->Facts().mManifest;
+  return manifest ? manifest->mVersion : 0;
+}
+
 template<class Mutex>
 NodeStatus
 NodeLogic<Mutex>::GetStatus(TimePoint aNow)
--- a/libs/node/tests/NodeLogicTest.cpp
+++ b/libs/node/tests/NodeLogicTest.cpp
@@ -31,7 +31,7 @@
 TEST_CASE("a request runs through entry, target, upstream and child calls")
 {
   Sim sim(TwoTiers());
-  sim.RunFor(milliseconds(100));
+  sim.Settle();
   const size_t call = sim.Call(2, 1, "front", "read", { "r1" }, "");
   sim.RunFor(milliseconds(500));
 
@@ -52,7 +52,7 @@
 TEST_CASE("a non-idempotent request runs once, with an issued key")
 {
   Sim sim(TwoTiers());
-  sim.RunFor(milliseconds(100));
+  sim.Settle();
   const size_t first = sim.Call(0, 5, "book", "charge", { "r1" }, "");
   sim.RunFor(milliseconds(200));
   REQUIRE(sim.Calls()[first].mAnswer);
--- a/libs/node/tests/Sim.cpp
+++ b/libs/node/tests/Sim.cpp
@@ -4,11 +4,12 @@
 
 #include <fmt/format.h>
 
+#include "manifest/ManifestPublisher.h"
+
 namespace amaranthgap::sim {
 namespace {
 
 constexpr Duration kTick = milliseconds(20);
-constexpr Duration kAnnounce = seconds(1);
 
 } // namespace
 
@@ -16,8 +17,7 @@
   : mOptions(std::move(aOptions))
   , mRng(mOptions.mSeed)
 {
-  mDirectory.mManifest = mOptions.mManifest;
-  Directory::Current() = &mDirectory;
+  Publish(mOptions.mManifest);
   size_t number = 0;
   for (const ServiceModel& service : mOptions.mServices) {
     for (uint32_t i = 0; i < service.mHosts; ++i) {
@@ -36,9 +36,40 @@
   }
 }
 
-Sim::~Sim()
+Sim::~Sim() = default;
+
+void
+Sim::Publish(const ManifestEntries& aEntries)
 {
-  Directory::Current() = nullptr;
+  PublishManifest(mStore,
+                  aEntries,
+                  { .mPublisher = "operator",
+                    .mPublishId = fmt::format("p{}", ++mPublished) });
+  WakeWatches();
+}
+
+void
+Sim::Settle()
+{
+  for (int i = 0; i < 200; ++i) {
+    RunFor(milliseconds(100));
+    bool isSettled = true;
+    for (Host& host : mHosts) {
+      if (!host.mAlive) {
+        continue;
+      }
+      const NodeStatus status = host.mNode->GetStatus(mNow);
+      const auto warm =
+        std::ranges::count_if(status.mMembers, [](const MemberUpdate& aMember) {
+          return aMember.mState == MemberState::Warm;
+        });
+      isSettled &= status.mReady && size_t(warm) == mHosts.size();
+    }
+    if (isSettled) {
+      return;
+    }
+  }
+  mViolations.emplace_back("the nodes did not settle");
 }
 
 // -- Time -------------------------------------------------------------------
@@ -87,17 +118,19 @@
   host.mDraining = false;
   host.mHeld.clear();
   host.mWork.clear();
-  host.mRef = { host.mId, { ++mLastIncarnation } };
-  host.mNode = std::make_unique<Node>(
-    NodeOptions{ .mSelf = host.mRef,
-                 .mRegion = "east",
-                 .mDataCentre = host.mDataCentre,
-                 .mPeerAddress = host.mAddress,
-                 .mStaticPeers = { mHosts.front().mAddress },
-                 .mKeySecret = "secret of the simulation",
-                 .mEntryShards = 2,
-                 .mSeed = mRng.Next(),
-                 .mPolicyOff = mOptions.mPolicyOff });
+  host.mHighestVersion = 0;
+  // Start time in ms with random low bits, as the node process makes it.
+  const auto millis = uint64_t(ToMillis(mNow.time_since_epoch()));
+  host.mNode = std::make_unique<Node>(NodeOptions{
+    .mSelf = { host.mId, { millis * 1024 + mRng.Below(1024) } },
+    .mRegion = "east",
+    .mDataCentre = host.mDataCentre,
+    .mPeerAddress = host.mAddress,
+    .mStaticPeers = { mHosts.front().mAddress, mHosts.back().mAddress },
+    .mKeySecret = "secret of the simulation",
+    .mEntryShards = 2,
+    .mSeed = mRng.Next(),
+    .mPolicyOff = mOptions.mPolicyOff });
   const uint64_t epoch = host.mEpoch;
   After(FromSeconds(mRng.Uniform(0, 0.02)),
         [this, aHost, epoch] { TickHost(aHost, epoch); });
@@ -119,6 +152,11 @@
   Actions actions;
   host.mNode->Tick(mNow, actions);
   Carry(aHost, std::move(actions));
+  const uint64_t version = host.mNode->Version();
+  if (version < host.mHighestVersion) {
+    mViolations.push_back("manifest version went down: " + host.mId.mValue);
+  }
+  host.mHighestVersion = version;
   if (host.mDraining && host.mNode->IsDrained(mNow)) {
     if (!host.mWork.empty()) {
       mViolations.push_back(
@@ -132,7 +170,10 @@
 Sim::Kill(size_t aHost)
 {
   Host& host = mHosts[aHost];
-  const NodeRef ref = host.mRef;
+  if (!host.mAlive) {
+    return;
+  }
+  const NodeRef ref = host.mNode->Self();
   ++host.mEpoch;
   host.mAlive = false;
   host.mNode.reset();
@@ -157,10 +198,6 @@
             [this, i, ref] { ReportLost(i, ref, false); });
     }
   }
-  if (!host.mDraining) {
-    After(seconds(3),
-          [this, ref] { mDirectory.SetState(ref, MemberState::Dead); });
-  }
 }
 
 void
@@ -201,6 +238,76 @@
   mHosts[aHost].mPartition = aPart;
 }
 
+// -- Store ------------------------------------------------------------------
+
+void
+Sim::AnswerStore(size_t aHost,
+                 uint64_t aEpoch,
+                 StoreCallId aCall,
+                 Duration aDelay,
+                 StoreAnswer aAnswer)
+{
+  After(aDelay, [this, aHost, aEpoch, aCall, answer = std::move(aAnswer)] {
+    Post(aHost, aEpoch, [this, aHost, aCall, answer] {
+      Actions actions;
+      mHosts[aHost].mNode->StoreAnswered(mNow, aCall, answer, actions);
+      Carry(aHost, std::move(actions));
+    });
+  });
+}
+
+void
+Sim::CallStore(size_t aHost, StartStoreCall aCall)
+{
+  const uint64_t epoch = mHosts[aHost].mEpoch;
+  const Duration delay = FromSeconds(mRng.Uniform(0.002, 0.004));
+  if (mStoreDown) {
+    AnswerStore(
+      aHost, epoch, aCall.mCall, delay, { .mVerdict = StoreVerdict::NotDone });
+    return;
+  }
+  const StoreAnswer answer = mStore.Execute(aCall.mRequest);
+  const Duration timeout = aCall.mRequest.mTimeout;
+  if (aCall.mRequest.mOperation == StoreOperation::Watch &&
+      answer.mVerdict == StoreVerdict::Unchanged) {
+    mWatches.push_back({ .mHost = aHost,
+                         .mEpoch = epoch,
+                         .mCall = std::move(aCall),
+                         .mUntil = mNow + timeout });
+    After(timeout, [this] { WakeWatches(); });
+    return;
+  }
+  if (mRng.Uniform() < mStoreLoseAnswer) {
+    AnswerStore(aHost,
+                epoch,
+                aCall.mCall,
+                timeout,
+                { .mVerdict = StoreVerdict::Unclear });
+    return;
+  }
+  AnswerStore(aHost, epoch, aCall.mCall, delay, answer);
+  WakeWatches();
+}
+
+void
+Sim::WakeWatches()
+{
+  for (Watch& watch : std::exchange(mWatches, {})) {
+    if (mHosts[watch.mHost].mEpoch != watch.mEpoch) {
+      continue;
+    }
+    const StoreAnswer answer =
+      mStoreDown ? StoreAnswer{ .mVerdict = StoreVerdict::Unclear }
+                 : mStore.Execute(watch.mCall.mRequest);
+    if (answer.mVerdict == StoreVerdict::Unchanged && mNow < watch.mUntil) {
+      mWatches.push_back(std::move(watch));
+      continue;
+    }
+    AnswerStore(
+      watch.mHost, watch.mEpoch, watch.mCall.mCall, milliseconds(2), answer);
+  }
+}
+
 // -- Network ----------------------------------------------------------------
 
 void
@@ -215,6 +322,8 @@
       BeginWork(aHost, std::move(*start));
     } else if (const auto* cancel = std::get_if<CancelUpstream>(&action)) {
       CancelWork(aHost, cancel->mExecution);
+    } else if (auto* store = std::get_if<StartStoreCall>(&action)) {
+      CallStore(aHost, std::move(*store));
     }
   }
 }
@@ -229,7 +338,7 @@
   const size_t to = it->second;
   const Host& host = mHosts[aHost];
   const Host& peer = mHosts[to];
-  Envelope envelope{ .mFrom = host.mRef,
+  Envelope envelope{ .mFrom = host.mNode->Self(),
                      .mFromAddress = host.mAddress,
                      .mTo = aSend.mTo,
                      .mSequence = ++mLastSequence,
@@ -243,8 +352,8 @@
       After(latency, [this, aHost, ref] { ReportLost(aHost, ref, true); });
       return;
     }
-    mLinks[{ aHost, to }] = { peer.mEpoch, peer.mRef };
-    mLinks[{ to, aHost }] = { host.mEpoch, host.mRef };
+    mLinks.insert({ aHost, to });
+    mLinks.insert({ to, aHost });
   }
   const Faults& faults = mOptions.mFaults;
   if (host.mPartition != peer.mPartition || mRng.Uniform() < faults.mLoss) {
@@ -299,10 +408,8 @@
   Host& host = mHosts[aHost];
   const CallerHandle handle{ ++mLastHandle };
   const size_t index = mCalls.size();
-  const ClassEntry* entry = mDirectory.mManifest->FindClass(aService, aClass);
-  const Duration timeout = aTimeout > Duration::zero()
-                             ? aTimeout
-                             : (entry ? entry->mTimeout : seconds(1));
+  const Duration timeout =
+    aTimeout > Duration::zero() ? aTimeout : Duration(seconds(1));
   mCalls.push_back({ .mOperation = aOperation,
                      .mHandle = handle,
                      .mHost = aHost,
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "SimDirectory.h"
+#include "../../manifest/tests/MemoryStore.h"
 #include "base/Rng.h"
 #include "node/NodeLogic.h"
 
@@ -44,7 +44,7 @@
 {
   uint64_t mSeed = 1;
   std::vector<ServiceModel> mServices;
-  ManifestPtr mManifest;
+  ManifestEntries mManifest;
   Faults mFaults;
   bool mPolicyOff = false;
 };
@@ -94,7 +94,7 @@
     std::string mService;
     std::string mDataCentre;
     std::unique_ptr<Node> mNode;
-    NodeRef mRef;
+    uint64_t mHighestVersion = 0; ///< In force at this incarnation.
     uint64_t mEpoch = 0; ///< Raised at each start and kill of the node.
     bool mAlive = false;
     bool mPaused = false;
@@ -144,7 +144,13 @@
   void Partition(size_t aHost, int aPart);
   Faults& NetworkFaults() { return mOptions.mFaults; }
   Behaviour& Upstreams() { return mBehaviour; }
-  Directory& Members() { return mDirectory; }
+  MemoryStore& Store() { return mStore; }
+  bool mStoreDown = false;
+  double mStoreLoseAnswer = 0;
+  /** Publishes a manifest as an operator does. */
+  void Publish(const ManifestEntries& aEntries);
+  /** Runs until all nodes have joined and know all upstreams. */
+  void Settle();
 
   // -- Callers --
   /** Sends a request; the operation names its content.
@@ -181,6 +187,13 @@
   void Transmit(size_t aFrom, size_t aTo, Envelope aEnvelope, Duration aDelay);
   void ReportLost(size_t aHost, const NodeRef& aPeer, bool aNeverSent);
   void Answered(size_t aHost, const AnswerCaller& aAnswer);
+  void CallStore(size_t aHost, StartStoreCall aCall);
+  void WakeWatches();
+  void AnswerStore(size_t aHost,
+                   uint64_t aEpoch,
+                   StoreCallId aCall,
+                   Duration aDelay,
+                   StoreAnswer aAnswer);
   void TickHost(size_t aHost, uint64_t aEpoch);
   void Announce(size_t aHost, uint64_t aEpoch);
   void BeginWork(size_t aHost, StartUpstream aStart);
@@ -203,21 +216,25 @@
     uint64_t mIndex = 0;
     std::string mCopy;
   };
-  struct Link
+  struct Watch
   {
-    uint64_t mPeerEpoch = 0;
-    NodeRef mPeer;
+    size_t mHost = 0;
+    uint64_t mEpoch = 0;
+    StartStoreCall mCall;
+    TimePoint mUntil;
   };
 
   Options mOptions;
   Rng mRng;
   TimePoint mNow{ seconds(1000) };
   std::multimap<TimePoint, std::function<void()>> mEvents;
-  Directory mDirectory;
+  MemoryStore mStore;
+  std::vector<Watch> mWatches;
+  uint64_t mPublished = 0;
   Behaviour mBehaviour;
   std::vector<Host> mHosts;
   std::map<std::string, size_t> mByAddress;
-  std::map<std::pair<size_t, size_t>, Link> mLinks; ///< Open streams.
+  std::set<std::pair<size_t, size_t>> mLinks; ///< Open streams.
   std::vector<Sent> mCalls;
   std::map<uint64_t, size_t> mByHandle;
   std::map<uint64_t, ChildWait> mChildWaits;
@@ -225,7 +242,6 @@
   std::map<RequestId, uint64_t> mCallsByRequest;
   std::vector<std::string> mViolations;
   uint64_t mLastHandle = 0;
-  uint64_t mLastIncarnation = 0;
   uint64_t mLastSequence = 0;
 };
 
