Judge overdue announcements when they are used, and reopen slow throttles

A throttle whose stream had paused applied its old refusals to the next call and then doubled its rate only once per call, so that a slow stream stayed locked out for many seconds after the overload; found by the liveness check of the schedules.

--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -97,7 +97,7 @@
   // -- Time and shutdown --
 
   void Tick(TimePoint aNow, Effects& aEffects);
-  void DrainStarted(Effects& aEffects);
+  void DrainStarted(TimePoint aNow, Effects& aEffects);
   /** @return whether nothing runs or waits any more after DrainStarted and the
    * closing records are with their holders. */
   [[nodiscard]] bool IsDrained() const;
@@ -137,7 +137,8 @@
   std::string ReplaceKey(TimePoint aNow,
                          const CallMessage& aCall,
                          const Verdict& aVerdict);
-  [[nodiscard]] Reason CheckUpstream(const std::string& aService) const;
+  [[nodiscard]] Reason CheckUpstream(TimePoint aNow,
+                                     const std::string& aService) const;
   [[nodiscard]] Verdict CheckCall(TimePoint aNow, const CallMessage& aCall);
   [[nodiscard]] bool IsDesignated(uint64_t aFingerprint) const;
   [[nodiscard]] bool IsFenced(const NodeRef& aNode) const;
@@ -178,7 +179,7 @@
   // -- Crashes --
   void Crashed(TimePoint aNow, Effects& aEffects);
   void SendToService(const Message& aMessage, Effects& aEffects);
-  void PublishUpstream(std::string aCause, Effects& aEffects);
+  void PublishUpstream(TimePoint aNow, std::string aCause, Effects& aEffects);
   void ReportUsage(TimePoint aNow, Effects& aEffects);
 
   Execution* Find(ExecutionId aExecution);
--- a/libs/node/include/node/UpstreamWatch.h
+++ b/libs/node/include/node/UpstreamWatch.h
@@ -61,7 +61,9 @@
   /** @return fingerprints of the calls broken lately; forgets them. */
   std::vector<uint64_t> TakeBroken(TimePoint aNow);
 
-  [[nodiscard]] UpstreamState State() const { return mState; }
+  /** @return the state; an upstream whose announcements are overdue counts as
+   * down before the next Tick, which matters when the node was paused. */
+  [[nodiscard]] UpstreamState State(TimePoint aNow) const;
   [[nodiscard]] const Announcement& Last() const { return mLast; }
 
 private:
--- a/libs/node/src/NodeLogic.cpp
+++ b/libs/node/src/NodeLogic.cpp
@@ -387,8 +387,8 @@
   for (const auto& entry : mEntries) {
     entry->Use([](EntryLogic& aEntry) { aEntry.DrainStarted(); });
   }
-  Run(aNow, mTarget, aActions, [](TargetLogic& aTarget, Effects& aEffects) {
-    aTarget.DrainStarted(aEffects);
+  Run(aNow, mTarget, aActions, [&](TargetLogic& aTarget, Effects& aEffects) {
+    aTarget.DrainStarted(aNow, aEffects);
   });
   RunControl(aNow, aActions, [&](ControlLogic& aControl) {
     aControl.Leave(aNow, aActions);
@@ -694,7 +694,7 @@
   });
   mParts->mTarget.Use([&](TargetLogic& aTarget) {
     status.mService = aTarget.Upstream().Last().mService;
-    status.mUpstreamState = ToName(aTarget.Upstream().State());
+    status.mUpstreamState = ToName(aTarget.Upstream().State(aNow));
     status.mLoad = aTarget.Load(aNow);
   });
   for (const auto& entry : mParts->mEntries) {
--- a/libs/node/src/TargetAdmission.cpp
+++ b/libs/node/src/TargetAdmission.cpp
@@ -78,8 +78,8 @@
 void
 TargetLogic::StartNext(TimePoint aNow, Effects& aEffects)
 {
-  if (!mLimiter || (mUpstream.State() != UpstreamState::Up &&
-                    mUpstream.State() != UpstreamState::Leaving)) {
+  if (!mLimiter || (mUpstream.State(aNow) != UpstreamState::Up &&
+                    mUpstream.State(aNow) != UpstreamState::Leaving)) {
     return;
   }
   while (mRunning.size() < mLimiter->Limit(aNow)) {
--- a/libs/node/src/TargetEnd.cpp
+++ b/libs/node/src/TargetEnd.cpp
@@ -43,7 +43,7 @@
       key && key->mNode == mOptions.mSelf) {
     mKeys.Burn(aNow, *key);
   }
-  if (CheckUpstream(aCall.mService) != Reason::None) {
+  if (CheckUpstream(aNow, aCall.mService) != Reason::None) {
     return {};
   }
   return mKeys.Issue(aNow,
@@ -252,7 +252,7 @@
   if (mUpstream.HasCrashed(aNow)) {
     Crashed(aNow, aEffects);
     mUpstream.SetCrashed();
-    PublishUpstream("crashed", aEffects);
+    PublishUpstream(aNow, "crashed", aEffects);
     FlushQueue(aNow, Reason::UpstreamDown, aEffects);
   }
   Remove(aNow, aExecution, aEffects);
@@ -324,7 +324,7 @@
                                const Announcement& aAnnouncement,
                                Effects& aEffects)
 {
-  const UpstreamState before = mUpstream.State();
+  const UpstreamState before = mUpstream.State(aNow);
   const uint32_t slots = mUpstream.Last().mSlots;
   const bool isNewRun = mUpstream.Announced(aNow, aAnnouncement);
   if (isNewRun && before != UpstreamState::Unknown) {
@@ -337,25 +337,27 @@
       .mWarmUp = isNewRun ? aAnnouncement.mWarmUp : Duration{},
       .mStart = aNow });
   }
-  if (isNewRun || before != mUpstream.State() ||
+  if (isNewRun || before != mUpstream.State(aNow) ||
       slots != aAnnouncement.mSlots) {
-    PublishUpstream(isNewRun ? "new run" : "announcement", aEffects);
+    PublishUpstream(aNow, isNewRun ? "new run" : "announcement", aEffects);
   }
   StartNext(aNow, aEffects);
 }
 
 void
-TargetLogic::PublishUpstream(std::string aCause, Effects& aEffects)
+TargetLogic::PublishUpstream(TimePoint aNow,
+                             std::string aCause,
+                             Effects& aEffects)
 {
   const Announcement& last = mUpstream.Last();
-  const bool isOpen = !mDraining && mUpstream.State() == UpstreamState::Up;
+  const bool isOpen = !mDraining && mUpstream.State(aNow) == UpstreamState::Up;
   aEffects.mEvents.emplace_back(
     UpstreamChanged{ .mService = isOpen ? last.mService : std::string{},
                      .mSlots = last.mSlots,
                      .mWarmUp = last.mWarmUp });
   aEffects.mActions.emplace_back(
     AuditEntry{ .mKind = AuditKind::UpstreamState,
-                .mSubject = std::string(ToName(mUpstream.State())),
+                .mSubject = std::string(ToName(mUpstream.State(aNow))),
                 .mCause = std::move(aCause) });
 }
 
@@ -432,7 +434,7 @@
 void
 TargetLogic::ReportUsage(TimePoint aNow, Effects& aEffects)
 {
-  if (mOptions.mPolicyOff || mUpstream.State() == UpstreamState::Unknown) {
+  if (mOptions.mPolicyOff || mUpstream.State(aNow) == UpstreamState::Unknown) {
     return;
   }
   auto shares = mUsage.LocalShares(aNow);
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -70,12 +70,12 @@
 // -- Checks -----------------------------------------------------------------
 
 Reason
-TargetLogic::CheckUpstream(const std::string& aService) const
+TargetLogic::CheckUpstream(TimePoint aNow, const std::string& aService) const
 {
   if (mDraining) {
     return Reason::Leaving;
   }
-  switch (mUpstream.State()) {
+  switch (mUpstream.State(aNow)) {
     case UpstreamState::Unknown:
     case UpstreamState::Down:
       return Reason::UpstreamDown;
@@ -121,7 +121,7 @@
 TargetLogic::Verdict
 TargetLogic::CheckCall(TimePoint aNow, const CallMessage& aCall)
 {
-  if (const Reason reason = CheckUpstream(aCall.mService);
+  if (const Reason reason = CheckUpstream(aNow, aCall.mService);
       reason != Reason::None) {
     return { .mReason = reason };
   }
@@ -347,7 +347,7 @@
                           Effects& aEffects)
 {
   KeyIssued issued{ .mCall = aRequest.mCall,
-                    .mReason = CheckUpstream(aRequest.mService) };
+                    .mReason = CheckUpstream(aNow, aRequest.mService) };
   if (issued.mReason == Reason::None) {
     issued.mKey = mKeys.Issue(aNow, aRequest);
     aEffects.Count("keys_issued");
@@ -417,7 +417,7 @@
   }
   if (mUpstream.Tick(aNow)) {
     Crashed(aNow, aEffects);
-    PublishUpstream("not announced", aEffects);
+    PublishUpstream(aNow, "not announced", aEffects);
     FlushQueue(aNow, Reason::UpstreamDown, aEffects);
   }
   StartNext(aNow, aEffects);
@@ -443,11 +443,11 @@
 }
 
 void
-TargetLogic::DrainStarted(Effects& aEffects)
+TargetLogic::DrainStarted(TimePoint aNow, Effects& aEffects)
 {
   mDraining = true;
   mKeys.SetDraining();
-  PublishUpstream("drain", aEffects);
+  PublishUpstream(aNow, "drain", aEffects);
 }
 
 bool
@@ -462,8 +462,8 @@
   return { .mInFlight = uint32_t(mRunning.size()),
            .mWaiting = uint32_t(mQueue->Size()),
            .mLimit = mLimiter ? mLimiter->Limit(aNow) : 0,
-           .mLeaving =
-             CheckUpstream(mUpstream.Last().mService) == Reason::Leaving };
+           .mLeaving = CheckUpstream(aNow, mUpstream.Last().mService) ==
+                       Reason::Leaving };
 }
 
 Execution*
--- a/libs/node/src/UpstreamWatch.cpp
+++ b/libs/node/src/UpstreamWatch.cpp
@@ -31,12 +31,19 @@
   return isNewRun;
 }
 
-bool
-UpstreamWatch::Tick(TimePoint aNow)
+UpstreamState
+UpstreamWatch::State(TimePoint aNow) const
 {
   const bool isAnnounced =
     mState == UpstreamState::Up || mState == UpstreamState::Leaving;
-  if (!isAnnounced || aNow - mLastTime < kLost) {
+  return isAnnounced && aNow - mLastTime >= kLost ? UpstreamState::Down
+                                                  : mState;
+}
+
+bool
+UpstreamWatch::Tick(TimePoint aNow)
+{
+  if (State(aNow) == mState) {
     return false;
   }
   mState = UpstreamState::Down;
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -235,6 +235,8 @@
   std::vector<Host> mHosts;
   std::map<std::string, size_t> mByAddress;
   std::set<std::pair<size_t, size_t>> mLinks; ///< Open streams.
+  /** Streams that broke, before their users were told. */
+  std::set<std::pair<size_t, size_t>> mBreaking;
   std::vector<Sent> mCalls;
   std::map<uint64_t, size_t> mByHandle;
   std::map<uint64_t, ChildWait> mChildWaits;
--- a/libs/overload/src/EntryThrottle.cpp
+++ b/libs/overload/src/EntryThrottle.cpp
@@ -113,7 +113,8 @@
   const double gain = 1 - std::exp(-length);
   aStream.mDemand += gain * (aStream.mArrived / length - aStream.mDemand);
   aStream.mGoodput += gain * (aStream.mAccepted / length - aStream.mGoodput);
-  if (aStream.mRefused > 0) {
+  // Refusals before a long pause of the stream say nothing of the load now.
+  if (aStream.mRefused > 0 && aNow - aStream.mBegin < 2 * kMaxInterval) {
     Cut(aNow, aStream, length);
   } else if (aStream.mThrottled) {
     Grow(aNow, aKey, aStream);
@@ -173,7 +174,11 @@
       aNow - std::max(aStream.mLastReply, view.mPressed) > patience ? 0 : 1;
   }
   if (pressure < kRelaxed) {
-    aStream.mRate *= 2;
+    // A slow stream closes an interval only with its next call, after several
+    // doublings.
+    const double intervals =
+      ToSeconds(aNow - aStream.mBegin) / ToSeconds(kInterval);
+    aStream.mRate *= std::exp2(std::clamp(intervals, 1.0, 10.0));
   } else if (pressure < kHalfFull) {
     aStream.mRate *= 1.03;
   } else if (pressure < kNearlyFull) {
