--- a/libs/server/src/NodeProcess.cpp
+++ b/libs/server/src/NodeProcess.cpp
@@ -122,7 +122,9 @@
            .mMaxExternalCalls = aSettings.mMaxCallerCalls,
            .mMaxUpstreamCalls = aSettings.mMaxUpstreamCalls,
            .mSeed = SeedOf(aSettings),
-           .mPolicyOff = aSettings.mPolicyOff };
+           .mPolicyOff = aSettings.mPolicyOff,
+           .mWallOffset = milliseconds(WallMillis()) -
+                          Now().time_since_epoch() };
 }
 
 PeerTransport::Options
