--- a/standins/StoreData.cpp
+++ b/standins/StoreData.cpp
@@ -86,7 +86,7 @@
   const uint64_t epoch = mWatchEpoch;
   while (true) {
     DropExpired();
-    const StoredValue current = Current(aKey);
+    StoredValue current = Current(aKey);
     const TimePoint now = std::chrono::steady_clock::now();
     if (current.mRevision != aSeen || now >= end || mWatchEpoch != epoch) {
       return current;
--- a/standins/UpstreamStandin.h
+++ b/standins/UpstreamStandin.h
@@ -55,9 +55,11 @@
   [[nodiscard]] std::string AnnouncementBody();
   void SampleLoad(TimePoint aNow);
 
-  const UpstreamOptions mOptions;
-  const std::string mRun;
-  const TimePoint mStart;
+  // Not changed after the construction.
+  UpstreamOptions mOptions;
+  std::string mRun;
+  TimePoint mStart;
+
   SlotGate mGate;
   WorkLog mLog;
   ChildCaller mChildren;
--- a/standins/WorkLog.h
+++ b/standins/WorkLog.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <tuple>
 
 #include <nlohmann/json.hpp>
 
@@ -21,7 +22,10 @@
   {
     std::string mRequest;
     std::string mKey;
-    auto operator<=>(const Id&) const = default;
+    bool operator<(const Id& aOther) const
+    {
+      return std::tie(mRequest, mKey) < std::tie(aOther.mRequest, aOther.mKey);
+    }
   };
 
   void Started(const Id& aId);
--- a/standins/tests/UpstreamStandinTest.cpp
+++ b/standins/tests/UpstreamStandinTest.cpp
@@ -88,6 +88,7 @@
 {
   std::vector<int> statuses(size_t(aCount), 0);
   std::vector<std::thread> threads;
+  threads.reserve(size_t(aCount));
   for (int n = 0; n < aCount; ++n) {
     threads.emplace_back(
       [&, n] { statuses[size_t(n)] = aFixture.Call("r" + std::to_string(n)); });
@@ -129,7 +130,9 @@
 TEST_CASE("work stops when the connection is closed", "[standins]")
 {
   const Fixture fixture({ .mSlots = 1, .mServiceMs = 2000 });
-  std::thread running([&] { fixture.Call("running", milliseconds(100)); });
+  std::thread running([&] { fixture.Call("running", milliseconds(500)); });
+  std::this_thread::sleep_for(milliseconds(50));
+  // The waiting caller leaves first, so that it is never given the slot.
   std::thread waiting([&] { fixture.Call("waiting", milliseconds(100)); });
   running.join();
   waiting.join();
