--- a/libs/wire/include/wire/Messages.h
+++ b/libs/wire/include/wire/Messages.h
@@ -75,6 +75,7 @@
   double mPressure = 0;
   bool mSuspect = false;     ///< The fingerprint was in flight at a crash.
   bool mTouchedOnce = false; ///< A non-idempotent call was made below.
+  std::string mIssuedKey;    ///< Fresh key in place of one that did not run.
 
   MSGPACK_DEFINE(mCall,
                  mOutcome,
@@ -84,7 +85,8 @@
                  mLoad,
                  mPressure,
                  mSuspect,
-                 mTouchedOnce)
+                 mTouchedOnce,
+                 mIssuedKey)
 };
 
 struct CancelCall
@@ -153,8 +155,16 @@
   uint32_t mPiece = 0;
   uint32_t mPieces = 1;
   std::vector<ClosingEntry> mEntries;
+  int64_t mClosedMillis = 0; ///< Monotonic clock of mNode at its end.
+  bool mStored = false;      ///< Confirmation of a piece; without entries.
 
-  MSGPACK_DEFINE(mNode, mService, mPiece, mPieces, mEntries)
+  MSGPACK_DEFINE(mNode,
+                 mService,
+                 mPiece,
+                 mPieces,
+                 mEntries,
+                 mClosedMillis,
+                 mStored)
 };
 
 // -- Service group ----------------------------------------------------------
@@ -249,8 +259,10 @@
   ManifestStamp mManifest;
   uint64_t mMembersDigest = 0;
   std::vector<MemberUpdate> mUpdates;
+  /** Set by a helper that got no answer from the member either. */
+  bool mNotReached = false;
 
-  MSGPACK_DEFINE(mProbe, mManifest, mMembersDigest, mUpdates)
+  MSGPACK_DEFINE(mProbe, mManifest, mMembersDigest, mUpdates, mNotReached)
 };
 
 /** Asks a member to probe another one on behalf of the sender. */
@@ -276,8 +288,9 @@
 {
   std::vector<uint64_t> mPages;
   bool mReply = false;
+  bool mJoining = false; ///< The sender is not a member yet.
 
-  MSGPACK_DEFINE(mPages, mReply)
+  MSGPACK_DEFINE(mPages, mReply, mJoining)
 };
 
 struct MemberPage
@@ -300,6 +313,7 @@
   std::string mPublishId;
   std::string mPublisher;
   int64_t mWallMillis = 0;
+  std::string mPreviousId; ///< Publish id of mFrom; empty for version 0.
 
   MSGPACK_DEFINE(mFrom,
                  mTo,
@@ -307,7 +321,8 @@
                  mRemoved,
                  mPublishId,
                  mPublisher,
-                 mWallMillis)
+                 mWallMillis,
+                 mPreviousId)
 };
 
 struct ManifestRumor
