--- a/bench/Recorder.cpp
+++ b/bench/Recorder.cpp
@@ -86,6 +86,7 @@
 {
   if (aOutcome == RequestEnd::Ok) {
     CountAt(mOkTimeline, aEnd);
+    CountAt(mOkByStart, aStart);
   }
   mIds += fmt::format("{} {}\n", aId, ToName(aOutcome));
   if (ToSeconds(aStart) < mSpec.mMeasureFrom) {
@@ -148,6 +149,7 @@
   out["statuses"] = mStatuses;
   out["timeline_step_ms"] = ToMillis(kTimelineStep);
   out["ok_timeline"] = mOkTimeline;
+  out["ok_by_start_timeline"] = mOkByStart;
   out["offered_timeline"] = mOfferedTimeline;
   out["client_lateness_ms"] = Percentiles(mLateness);
   out["jain"] = Jain();
--- a/bench/Recorder.h
+++ b/bench/Recorder.h
@@ -86,7 +86,8 @@
   std::map<std::string, Group> mByCaller;
   std::map<std::string, uint64_t> mReasons;
   std::map<std::string, uint64_t> mStatuses;
-  std::vector<uint64_t> mOkTimeline;
+  std::vector<uint64_t> mOkTimeline; ///< By end, in steps of 100 ms.
+  std::vector<uint64_t> mOkByStart;
   std::vector<uint64_t> mOfferedTimeline;
   std::vector<double> mLateness;
   std::string mIds;
