--- a/libs/node/include/node/Effects.h
+++ b/libs/node/include/node/Effects.h
@@ -71,6 +71,12 @@
   /** Names of counters to raise by one: a constant prefix and suffix. */
   std::vector<std::pair<std::string_view, std::string_view>> mCounts;
 
+  [[nodiscard]] bool IsEmpty() const
+  {
+    return mActions.empty() && mEvents.empty() && mSteps.empty() &&
+           mCounts.empty();
+  }
+
   void Count(std::string_view aName, std::string_view aSuffix = {})
   {
     mCounts.emplace_back(aName, aSuffix);
--- a/libs/node/src/NodeLogic.cpp
+++ b/libs/node/src/NodeLogic.cpp
@@ -183,6 +183,9 @@
                                Effects aEffects,
                                Actions& aActions)
 {
+  if (aEffects.IsEmpty()) {
+    return;
+  }
   std::deque<Effects> queue;
   queue.push_back(std::move(aEffects));
   const NodeRef self = Facts().mSelf;
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -147,6 +147,7 @@
   MemoryStore& Store() { return mStore; }
   bool mStoreDown = false;
   double mStoreLoseAnswer = 0;
+  Duration mTick = milliseconds(20); ///< Between two ticks of a node.
   /** Publishes a manifest as an operator does. */
   void Publish(const ManifestEntries& aEntries);
   /** Runs until all nodes have joined and know all upstreams. */
