--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -113,6 +113,7 @@
     Reason mReason = Reason::None;
     bool mSuspect = false;
     double mPressure = 0;
+    Duration mRetryAfter{};
   };
 
   // -- Checks --
@@ -180,6 +181,7 @@
   void Crashed(TimePoint aNow, Effects& aEffects);
   void SendToService(const Message& aMessage, Effects& aEffects);
   void PublishUpstream(TimePoint aNow, std::string aCause, Effects& aEffects);
+  void NoteRegime(TimePoint aNow, Effects& aEffects);
   void ReportUsage(TimePoint aNow, Effects& aEffects);
 
   Execution* Find(ExecutionId aExecution);
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -9,6 +9,9 @@
 
 constexpr Duration kUsageInterval = milliseconds(200); // Section 8.2.
 constexpr Duration kExpiryInterval = seconds(1);
+// The quarantine lasts minutes; a caller learns that an early return is of no
+// use, but also of an end by an operator within a minute.
+constexpr Duration kQuarantineRetry = minutes(1);
 
 } // namespace
 
@@ -133,7 +136,8 @@
   }
   switch (mCrashes->StateOf(aNow, aCall.mFingerprint)) {
     case FingerprintState::Quarantined:
-      return { .mReason = Reason::Quarantined };
+      return { .mReason = Reason::Quarantined,
+               .mRetryAfter = kQuarantineRetry };
     case FingerprintState::Suspect:
       if (!IsDesignated(aCall.mFingerprint)) {
         return { .mReason = Reason::SuspectWaiting, .mSuspect = true };
@@ -421,6 +425,7 @@
     FlushQueue(aNow, Reason::UpstreamDown, aEffects);
   }
   StartNext(aNow, aEffects);
+  NoteRegime(aNow, aEffects);
   if (aNow >= mNextUsage) {
     mNextUsage = aNow + kUsageInterval;
     ReportUsage(aNow, aEffects);
@@ -442,6 +447,23 @@
   mKeys.Tick(aNow, aEffects);
 }
 
+void
+TargetLogic::NoteRegime(TimePoint aNow, Effects& aEffects)
+{
+  if (!mLimiter || mLimiter->Regime(aNow) == mRegime) {
+    return;
+  }
+  const LimitRegime before = std::exchange(mRegime, mLimiter->Regime(aNow));
+  // Probes upwards are part of the ordinary course and would fill the trail.
+  if (before == LimitRegime::WarmUp || mRegime == LimitRegime::WarmUp ||
+      mRegime == LimitRegime::ProbeDown) {
+    aEffects.mActions.emplace_back(
+      AuditEntry{ .mKind = AuditKind::LimitRegime,
+                  .mSubject = std::string(ToName(mRegime)),
+                  .mCause = fmt::format("limit={}", mLimiter->Limit(aNow)) });
+  }
+}
+
 void
 TargetLogic::DrainStarted(TimePoint aNow, Effects& aEffects)
 {
