Keep nodes with a stopped upstream in the service group

Cause: crash reports went to the members listed for the service. A node whose upstream had just crashed was not listed, missed the quarantine, and ran the request again as soon as its upstream was back. Conclusion: the group follows nodes, not upstreams; a node that is new in it is told what is suspect or in quarantine.

--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -11,6 +11,7 @@
 #include "node/Effects.h"
 #include "node/Execution.h"
 #include "node/KeyKeeper.h"
+#include "node/ServiceGroup.h"
 #include "node/Snapshots.h"
 #include "node/UpstreamWatch.h"
 #include "overload/AdmissionQueue.h"
@@ -180,6 +181,9 @@
   // -- Crashes --
   void Crashed(TimePoint aNow, Effects& aEffects);
   void SendToService(const Message& aMessage, Effects& aEffects);
+  /** Brings the service group up to date, and tells nodes that are new in it
+   * which requests are suspect or in quarantine. */
+  void UpdateGroup(TimePoint aNow, Effects& aEffects);
   void PublishUpstream(TimePoint aNow, std::string aCause, Effects& aEffects);
   void NoteRegime(TimePoint aNow, Effects& aEffects);
   void ReportUsage(TimePoint aNow, Effects& aEffects);
@@ -195,6 +199,7 @@
   Rng mRng;
   ManifestPtr mManifest;
   MemberListPtr mMembers;
+  ServiceGroup mGroup;
   DuplicateFilter mFilter;
   UpstreamWatch mUpstream;
   std::unique_ptr<ConcurrencyLimiter> mLimiter;
--- a/libs/node/src/TargetEnd.cpp
+++ b/libs/node/src/TargetEnd.cpp
@@ -343,6 +343,7 @@
       slots != aAnnouncement.mSlots) {
     PublishUpstream(aNow, isNewRun ? "new run" : "announcement", aEffects);
   }
+  UpdateGroup(aNow, aEffects);
   StartNext(aNow, aEffects);
 }
 
@@ -398,20 +399,33 @@
 void
 TargetLogic::SendToService(const Message& aMessage, Effects& aEffects)
 {
-  if (!mMembers) {
+  for (const auto& [id, member] : mGroup.Nodes()) {
+    aEffects.mActions.emplace_back(SendMessage{ .mTo = member.mNode,
+                                                .mAddress = member.mPeerAddress,
+                                                .mMessage = aMessage });
+  }
+}
+
+void
+TargetLogic::UpdateGroup(TimePoint aNow, Effects& aEffects)
+{
+  const std::string& service = mUpstream.Last().mService;
+  if (!mMembers || service.empty()) {
     return;
   }
-  const auto it = mMembers->mByService.find(mUpstream.Last().mService);
-  if (it == mMembers->mByService.end()) {
+  const auto added = mGroup.Update(mOptions.mSelf.mId, service, *mMembers);
+  if (added.empty()) {
     return;
   }
-  for (const MemberUpdate& member : it->second) {
-    if (member.mNode.mId != mOptions.mSelf.mId) {
-      aEffects.mActions.emplace_back(
-        SendMessage{ .mTo = member.mNode,
-                     .mAddress = member.mPeerAddress,
-                     .mMessage = aMessage });
-    }
+  CrashReport known = mCrashes->Known(aNow);
+  if (known.mSuspects.empty() && known.mQuarantined.empty()) {
+    return;
+  }
+  known.mService = service;
+  for (const MemberUpdate& member : added) {
+    aEffects.mActions.emplace_back(SendMessage{ .mTo = member.mNode,
+                                                .mAddress = member.mPeerAddress,
+                                                .mMessage = known });
   }
 }
 
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -58,6 +58,7 @@
 {
   mMembers = aMembers;
   mKeys.SetMembers(aMembers);
+  UpdateGroup(aNow, aEffects);
   std::set<NodeRef> gone;
   for (const auto& [call, execution] : mByCall) {
     const Presence presence = PresenceOf(*aMembers, call.first);
