--- a/libs/overload/include/overload/ConcurrencyLimiter.h
+++ b/libs/overload/include/overload/ConcurrencyLimiter.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include "base/EnumNames.h"
 #include "base/Time.h"
@@ -74,13 +75,11 @@
     TimePoint mFillUntil; ///< Starts before the limit is reached do not count.
     TimePoint mBegin;
     TimePoint mLastStart;
-    // Logarithms of the own time over the reference of its class.
-    uint32_t mSamples = 0;
-    double mSum = 0;
-    double mSquares = 0;
+    std::vector<double> mLogs; ///< Own time over the reference of its class.
+    double mMean = 0;          ///< As of Summarize.
+    double mVariance = 1;      ///< Of the mean.
 
-    [[nodiscard]] double Mean() const;
-    [[nodiscard]] double Variance() const; ///< Of the mean.
+    void Summarize();
     [[nodiscard]] bool IsSaturated() const;
   };
 
@@ -123,6 +122,7 @@
   bool mIsBounded = false; ///< The last step up was rejected.
   TimePoint mNextDown;
   TimePoint mNextRiseCheck;
+  bool mIsVerified = false; ///< A probe downwards saw no sign of a queue.
   // Drops seen by the probes under the present limit, weighted by precision.
   double mDropSum = 0;
   double mDropWeight = 0;
@@ -132,6 +132,8 @@
   double mSlopeWeight = 0;
   TimePoint mNextUp;
   TimePoint mNextShedCut;
+  double mShedAt = 0; ///< Limit at which the upstream last refused calls.
+  TimePoint mShedUntil;
   Duration mDownPause{};
   Duration mUpPause{};
   Duration mCohortTime{};
--- a/libs/overload/src/AdmissionQueue.cpp
+++ b/libs/overload/src/AdmissionQueue.cpp
@@ -42,7 +42,7 @@
   if (aExpectedRun > Duration::zero()) {
     constexpr double kGain = 0.05;
     mMeanRun +=
-      (mMeanRun == 0 ? 1 : kGain) * (ToSeconds(aExpectedRun) - mMeanRun);
+      (mMeanRun == 0 ? 1 : kGain) * (ToSeconds(aExpectedRun) - 1.5 * mMeanRun);
   }
   if (mIndex.contains(aCall.mExecution)) {
     return { .mQueued = true };
@@ -88,9 +88,11 @@
   if (aDrainRate <= 0) {
     return mOptions.mCapacity;
   }
-  // Half of a run time of queue keeps the slots of a slow upstream busy, where
-  // the target delay alone would allow no queue at all.
-  const double delay = std::max(ToSeconds(mOptions.mTargetDelay), mMeanRun / 2);
+  // For a slow upstream the target delay allows hardly any queue. Bursts of the
+  // parties with small demand would then be refused, and the party that always
+  // waits would take what they leave.
+  const double delay =
+    std::max(ToSeconds(mOptions.mTargetDelay), 1.5 * mMeanRun);
   const double calls = std::ceil(aDrainRate * delay);
   return size_t(std::clamp(calls, 1.0, double(mOptions.mCapacity)));
 }
--- a/libs/overload/src/ConcurrencyLimiter.cpp
+++ b/libs/overload/src/ConcurrencyLimiter.cpp
@@ -22,13 +22,15 @@
 // Calls that run side by side are slow together; their mean varies more than
 // that of independent ones.
 constexpr double kCorrelation = 2;
-// The slowest tenth of a cohort is not waited for.
-constexpr double kCohortShare = 0.9;
+// The slowest calls of a cohort are not waited for; only its middle counts.
+constexpr double kCohortShare = 0.8;
 
 // The probe costs the rest of the throughput while it lasts, when the limit is
 // right. At half the limit, a slowed upstream would lose seconds of it.
 constexpr double kSaturated = 0.7;
 constexpr double kDownProbe = 0.7;
+// Half of the drop that such a probe sees when there is a queue.
+const double kDownProbeQueue = -std::log(kDownProbe) / 2;
 constexpr double kFirstUpStep = 0.1;
 constexpr double kLastUpStep = 1;
 
@@ -48,22 +50,34 @@
 
 // -- Cohorts ----------------------------------------------------------------
 
-double
-ConcurrencyLimiter::Cohort::Mean() const
-{
-  return mSamples ? mSum / mSamples : 0.0;
-}
-
-double
-ConcurrencyLimiter::Cohort::Variance() const
+void
+ConcurrencyLimiter::Cohort::Summarize()
 {
-  if (mSamples < 2) {
-    return 1;
+  if (mLogs.size() < 4) {
+    return;
+  }
+  // Mean of the middle half: a few calls that take many times as long as the
+  // others would hide the effect of a probe.
+  std::vector<double> logs = mLogs;
+  std::sort(logs.begin(), logs.end());
+  const size_t cut = logs.size() / 4;
+  const double low = logs[cut];
+  const double high = logs[logs.size() - 1 - cut];
+  double middle = 0;
+  double sum = 0;
+  double squares = 0;
+  for (size_t i = 0; i < logs.size(); ++i) {
+    const double bounded = std::clamp(logs[i], low, high);
+    sum += bounded;
+    squares += bounded * bounded;
+    middle += i >= cut && i < logs.size() - cut ? logs[i] : 0.0;
   }
-  const double mean = Mean();
-  return std::max(kMinDeviation * kMinDeviation,
-                  kCorrelation * (mSquares / mSamples - mean * mean) /
-                    mSamples);
+  const double count = double(logs.size());
+  const double kept = count - 2.0 * double(cut);
+  const double spread = squares / count - sum / count * (sum / count);
+  mMean = middle / kept;
+  mVariance = std::max(kMinDeviation * kMinDeviation,
+                       kCorrelation * spread * count / (kept * kept));
 }
 
 bool
@@ -162,11 +176,17 @@
   mCohort.mLastStart = aNow;
   mCohort.mSaturated += aWaiting || aInFlight >= limit ? 1 : 0;
   mCohort.mWaited += aWaiting ? 1 : 0;
-  if (mCohort.mStarted == mCohort.mWanted &&
-      mCohort.mWanted < kMaxFactor * mCohort.mLeast &&
-      mCohort.Variance() * mCohort.mSamples >
+  // A probe downwards costs throughput when the limit is right; then a short
+  // one is rather repeated.
+  const bool isCostly = mRegime == LimitRegime::ProbeDown && mIsVerified &&
+                        mDropSum <= kDownProbeQueue * mDropWeight;
+  if (mCohort.mStarted == mCohort.mWanted && !isCostly &&
+      mCohort.mWanted < kMaxFactor * mCohort.mLeast) {
+    mCohort.Summarize();
+    if (mCohort.mVariance * double(mCohort.mLogs.size()) >
         kMaxDeviation * kMaxDeviation * mCohort.mWanted) {
-    mCohort.mWanted += mCohort.mLeast / 2;
+      mCohort.mWanted += mCohort.mLeast / 2;
+    }
   }
 }
 
@@ -200,9 +220,7 @@
       reference.mLog += (log - mLevel - reference.mLog) / reference.mSamples;
     } else if (counts) {
       const double ratio = log - reference.mLog;
-      ++mCohort.mSamples;
-      mCohort.mSum += ratio;
-      mCohort.mSquares += ratio * ratio;
+      mCohort.mLogs.push_back(ratio);
       ++reference.mCohortSamples;
       reference.mCohortSum += ratio;
     }
@@ -242,7 +260,8 @@
 void
 ConcurrencyLimiter::CohortDone(TimePoint aNow)
 {
-  const Cohort cohort = mCohort;
+  mCohort.Summarize();
+  const Cohort cohort = std::move(mCohort);
   mCohortTime = aNow - cohort.mBegin;
   if (mRegime != LimitRegime::Steady) {
     mProbe = cohort;
@@ -250,8 +269,8 @@
     StartCohort(aNow, LimitRegime::Steady, mLimit);
     return;
   }
-  if (cohort.mSamples >= cohort.mWanted / 2) {
-    mLevel = cohort.Mean();
+  if (cohort.mLogs.size() >= cohort.mWanted / 2) {
+    mLevel = cohort.mMean;
     UpdateReferences();
     if (mJudge != LimitRegime::Steady) {
       JudgeProbe(aNow, cohort);
@@ -288,12 +307,18 @@
 void
 ConcurrencyLimiter::ChooseProbe(TimePoint aNow, const Cohort& aCohort)
 {
+  // A cohort in which the upstream changed is no measure either.
+  const bool isStable =
+    std::abs(aCohort.mMean - mBefore.mMean) <=
+    kRise + 2 * std::sqrt(aCohort.mVariance + mBefore.mVariance);
   mBefore = aCohort;
-  if (!aCohort.IsSaturated() || Ramp(aNow) < 1) {
+  // A cohort of another limit is no measure for a probe.
+  if (!aCohort.IsSaturated() || Ramp(aNow) < 1 ||
+      aCohort.mLimit != std::round(mLimit)) {
     StartCohort(aNow, LimitRegime::Steady, mLimit);
     return;
   }
-  const double deviation = std::sqrt(aCohort.Variance());
+  const double deviation = std::sqrt(aCohort.mVariance);
   const double change = mLevel - mChecked;
   if (change < -kRise - 2 * deviation) {
     // The upstream recovered, so that it may take more.
@@ -303,7 +328,7 @@
     mUpStep = std::max(mUpStep, 0.4);
   }
   const bool hasRisen =
-    change > kRise + 2 * deviation && aNow >= mNextRiseCheck;
+    change > kRise + 2 * deviation && isStable && aNow >= mNextRiseCheck;
   const bool isWanted = aCohort.mWaited * 2 >= aCohort.mStarted;
   if (mLimit > 1 && (hasRisen || (mIsBounded && aNow >= mNextDown))) {
     StartCohort(
@@ -311,9 +336,14 @@
   } else if (isWanted && aNow >= mNextUp) {
     // Noise must not hide the effect of the step.
     const double step = std::max(mUpStep, std::min(4 * deviation, 0.5));
-    const double limit = std::min(
-      std::max(std::round(mLimit) + 1, mLimit * (1 + step)), Ceiling());
-    if (limit > mLimit * (1 + step / 2)) {
+    double limit = std::max(std::round(mLimit) + 1, mLimit * (1 + step));
+    const bool isNearShed = aNow < mShedUntil && mShedAt > mLimit;
+    if (isNearShed) {
+      limit = std::max(std::round(mLimit) + 1,
+                       std::min(limit, (mLimit + mShedAt) / 2));
+    }
+    limit = std::min(limit, Ceiling());
+    if (isNearShed || limit > mLimit * (1 + step / 2)) {
       StartCohort(aNow, LimitRegime::ProbeUp, limit);
     } else {
       mIsBounded = true;
@@ -329,14 +359,14 @@
 {
   const LimitRegime judged = mJudge;
   mJudge = LimitRegime::Steady;
-  const double spread = 2 * std::sqrt(mBefore.Variance() + aAfter.Variance());
+  const double spread = 2 * std::sqrt(mBefore.mVariance + aAfter.mVariance);
   const bool isSteady =
-    std::abs(aAfter.Mean() - mBefore.Mean()) <= kRise + spread;
+    std::abs(aAfter.mMean - mBefore.mMean) <= kRise + spread;
   const bool isFilled = mProbe.IsSaturated() && aAfter.IsSaturated() &&
-                        mProbe.mSamples >= mProbe.mWanted / 2;
+                        mProbe.mLogs.size() >= mProbe.mWanted / 2;
   if (!isSteady || !isFilled) {
     // The upstream or the demand changed meanwhile; the probe tells nothing.
-    mChecked = isSteady ? mChecked : aAfter.Mean();
+    mChecked = isSteady ? mChecked : aAfter.mMean;
     mNextDown = std::max(mNextDown, aNow + mCohortTime * 4);
     return;
   }
@@ -351,26 +381,29 @@
 ConcurrencyLimiter::JudgeDown(TimePoint aNow, const Cohort& aAfter)
 {
   const double variance =
-    mProbe.Variance() + (mBefore.Variance() + aAfter.Variance()) / 4;
-  mDropSum += ((mBefore.Mean() + aAfter.Mean()) / 2 - mProbe.Mean()) / variance;
+    mProbe.mVariance + (mBefore.mVariance + aAfter.mVariance) / 4;
+  mDropSum += ((mBefore.mMean + aAfter.mMean) / 2 - mProbe.mMean) / variance;
   mDropWeight += 1 / variance;
   const double drop = mDropSum / mDropWeight;
   const double deviation = 1 / std::sqrt(mDropWeight);
   const double full = std::log(aAfter.mLimit / mProbe.mLimit);
-  if (drop > 2.5 * deviation && drop > 0.15 * full) {
-    // The own time is proportional to the calls in flight above the upstream's
-    // capacity and constant below it, so the drop leads to the capacity. A
-    // limit that is too low costs throughput, one too high only time.
-    SetLimit(
-      std::max(mProbe.mLimit, aAfter.mLimit * std::exp(deviation - drop)));
-    mChecked = mProbe.Mean();
+  // The own time is proportional to the calls in flight above the upstream's
+  // capacity and constant below it, so the drop leads to the capacity. A limit
+  // that is too low costs throughput, one too high only time.
+  const double capacity =
+    std::max(mProbe.mLimit, aAfter.mLimit * std::exp(deviation - drop));
+  const bool isQueue = drop > 2.5 * deviation && drop > 0.15 * full;
+  if (isQueue && std::round(capacity) < aAfter.mLimit) {
+    SetLimit(capacity);
+    mChecked = mProbe.mMean;
     mDownPause = kDownPause;
     mNextDown = drop > 0.8 * full ? aNow : aNow + mDownPause;
     mNextRiseCheck = mNextDown;
     mNextUp = aNow + mUpPause;
-  } else if (drop + deviation < 0.5 * full) {
-    // No queue: the upstream is as fast as it is.
-    mChecked = aAfter.Mean();
+  } else if (isQueue || drop + deviation < 0.5 * full) {
+    // The limit is right, and the upstream is as fast as it is.
+    mChecked = aAfter.mMean;
+    mIsVerified = true;
     mDropSum = 0;
     mDropWeight = 0;
     // The probe costs a third of the capacity while it lasts; the pauses keep
@@ -381,7 +414,9 @@
     mDownPause = std::min(2 * mDownPause, std::max(kLongPause, 4 * least));
   } else {
     // If there is a queue, as it seems, the next probe costs nothing.
-    mNextDown = aNow + (drop > 0.5 * full ? 2 : 10) * mCohortTime;
+    const bool isLikely = drop > 0.5 * full;
+    mIsVerified = mIsVerified || !isLikely;
+    mNextDown = aNow + (isLikely ? 2 : 10) * mCohortTime;
     mNextRiseCheck = mNextDown;
   }
 }
@@ -396,19 +431,22 @@
     return;
   }
   const double variance =
-    mProbe.Variance() + (mBefore.Variance() + aAfter.Variance()) / 4;
-  const double rise = mProbe.Mean() - (mBefore.Mean() + aAfter.Mean()) / 2;
+    mProbe.mVariance + (mBefore.mVariance + aAfter.mVariance) / 4;
+  const double rise = mProbe.mMean - (mBefore.mMean + aAfter.mMean) / 2;
   const double step = std::log(high / low);
-  constexpr double kMemory = 0.5;
+  constexpr double kMemory = 0.8;
   mSlopeSum = kMemory * mSlopeSum + step * rise / variance;
   mSlopeWeight = kMemory * mSlopeWeight + step * step / variance;
   // As in JudgeDown. A part of the deviation is held against the increase,
-  // since nothing but a later probe would take it back.
-  const double slope =
-    mSlopeSum / mSlopeWeight + 0.25 / std::sqrt(mSlopeWeight);
-  const double estimate = high * std::exp(-slope * step);
-  if (estimate > low + 0.4 * (high - low)) {
-    SetLimit(std::min(estimate, high));
+  // since nothing but a later probe would take it back. Several probes together
+  // find a small reserve, a single one finds that the capacity has grown.
+  const double deviation = std::sqrt(variance);
+  const double latest = high * std::exp(-rise - 0.25 * deviation);
+  const double pooledDeviation = step / std::sqrt(mSlopeWeight);
+  const double pooled =
+    high * std::exp(-mSlopeSum / mSlopeWeight * step - pooledDeviation);
+  if (latest > low + 0.4 * (high - low) || pooled > 1.02 * low) {
+    SetLimit(std::min(std::max(latest, pooled), high));
     mUpStep = std::min(2 * mUpStep, kLastUpStep);
     mUpPause = kUpPause;
     mNextUp = aNow;
@@ -428,6 +466,9 @@
   if (!wasProbe && aNow < mNextShedCut) {
     return;
   }
+  // The next probes go half of the way, since the last one went too far.
+  mShedAt = wasProbe ? mProbeLimit : mLimit;
+  mShedUntil = aNow + kLongPause;
   if (!wasProbe) {
     constexpr double kShedFactor = 0.9;
     SetLimit(mLimit * kShedFactor);
