--- a/libs/manifest/src/ManifestPublisher.cpp
+++ b/libs/manifest/src/ManifestPublisher.cpp
@@ -95,8 +95,8 @@
 }
 
 /** @return whether the version aOurs of this publish id is among the deltas
- * that lead to the head. */
-bool
+ * that lead to the head; nothing when they cannot be read. */
+std::optional<bool>
 IsInHistory(KeyValueStore& aStore,
             const HeadRecord& aHead,
             const ManifestDelta& aOurs)
@@ -106,11 +106,11 @@
   while (version > aOurs.mTo.mVersion) {
     const auto read = ReadBack(aStore, DeltaKey(version, id));
     if (read.mVerdict != StoreVerdict::Done || read.mCurrent.mRevision == 0) {
-      return false;
+      return std::nullopt;
     }
     const auto delta = ReadDelta(read.mCurrent.mValue);
     if (!delta || delta.value().mFrom.mVersion >= version) {
-      return false;
+      return std::nullopt;
     }
     version = delta.value().mFrom.mVersion;
     id = delta.value().mPreviousId;
@@ -133,12 +133,15 @@
   const auto head = ReadHead(aHead.mValue);
   if (!head) {
     aReport.mDetail = head.error().ToString();
-    return PublishVerdict::Lost;
+    return PublishVerdict::Unclear;
   }
   DescribeHead(aStore, head.value(), aReport);
-  const bool ours = head.value().mPublishId == aOurs.mPublishId ||
-                    IsInHistory(aStore, head.value(), aOurs);
-  return ours ? PublishVerdict::Accepted : PublishVerdict::Lost;
+  const auto ours = IsInHistory(aStore, head.value(), aOurs);
+  if (!ours) {
+    aReport.mDetail = "the deltas up to the head could not be read";
+    return PublishVerdict::Unclear;
+  }
+  return *ours ? PublishVerdict::Accepted : PublishVerdict::Lost;
 }
 
 /** Deletes the deltas and snapshots that the new snapshot no longer lists. */
--- /dev/null
+++ b/libs/manifest/tests/ManifestReplicaTest.cpp
@@ -0,0 +1,362 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "manifest/ManifestReplica.h"
+#include "manifest/StoreRecords.h"
+#include "manifest/WatcherElection.h"
+
+using namespace amaranthgap;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(100) };
+
+ManifestEntries
+Entries(const std::string& aParty, int aCallers = 1)
+{
+  ManifestEntries entries;
+  for (int i = 0; i < aCallers; ++i) {
+    entries["callers/caller-" + std::to_string(i)] =
+      aParty + std::string(aCallers > 1 ? 60 : 0, 'x');
+  }
+  return entries;
+}
+
+ManifestStamp
+StampOf(uint64_t aVersion, const ManifestEntries& aEntries)
+{
+  return { .mVersion = aVersion, .mDigest = DigestOf(aEntries) };
+}
+
+ManifestDelta
+Delta(uint64_t aFrom,
+      const ManifestEntries& aOld,
+      uint64_t aTo,
+      const ManifestEntries& aNew)
+{
+  auto delta = Difference(aOld, aNew);
+  delta.mFrom = aFrom == 0 ? ManifestStamp{} : StampOf(aFrom, aOld);
+  delta.mTo = StampOf(aTo, aNew);
+  return delta;
+}
+
+/** Two replicas and the messages between them. */
+struct Pair
+{
+  explicit Pair(ManifestReplica::Options aOptions = {})
+    : mNodes{ ManifestReplica(aOptions), ManifestReplica(aOptions) }
+  {
+  }
+
+  static Envelope From(int aNode, Message aMessage)
+  {
+    const auto name = std::to_string(aNode);
+    return { .mFrom = { { "node-" + name }, { 1 } },
+             .mFromAddress = name,
+             .mMessage = std::move(aMessage) };
+  }
+
+  /** Delivers all messages until none is left. */
+  void Carry(int aFrom, PeerOutput aOut)
+  {
+    for (auto& entry : aOut.mAudit) {
+      mAudit.push_back(entry);
+    }
+    for (auto& send : aOut.mSends) {
+      msgpack::sbuffer buf;
+      std::visit([&](const auto& aBody) { msgpack::pack(buf, aBody); },
+                 send.mMessage);
+      mBytes[aFrom] += buf.size();
+      mLargest = std::max(mLargest, buf.size());
+      const int to = std::stoi(send.mAddress);
+      PeerOutput out;
+      mNodes[to].MessageArrived(mNow, From(aFrom, send.mMessage), out);
+      Carry(to, std::move(out));
+    }
+  }
+
+  void Run(Duration aTime)
+  {
+    for (const TimePoint end = mNow + aTime; mNow < end;
+         mNow += milliseconds(50)) {
+      for (int i = 0; i < 2; ++i) {
+        PeerOutput out;
+        mNodes[i].Tick(
+          mNow,
+          [&](size_t) {
+            return std::vector<PeerAddress>{
+              { .mNode = { { "node-" + std::to_string(1 - i) }, { 1 } },
+                .mAddress = std::to_string(1 - i) }
+            };
+          },
+          out);
+        Carry(i, std::move(out));
+      }
+    }
+  }
+
+  /** Lets the second node hear of the version of the first. */
+  void Announce()
+  {
+    PeerOutput out;
+    mNodes[1].NoteStamp(mNow,
+                        mNodes[0].Stamp(),
+                        { .mNode = { { "node-0" }, { 1 } }, .mAddress = "0" },
+                        out);
+    Carry(1, std::move(out));
+  }
+
+  [[nodiscard]] size_t Count(AuditKind aKind) const
+  {
+    return size_t(std::count_if(
+      mAudit.begin(), mAudit.end(), [&](const AuditEntry& aEntry) {
+        return aEntry.mKind == aKind;
+      }));
+  }
+
+  ManifestReplica mNodes[2];
+  std::vector<AuditEntry> mAudit;
+  uint64_t mBytes[2] = {};
+  size_t mLargest = 0;
+  TimePoint mNow = kStart;
+};
+
+bool
+Take(ManifestReplica& aReplica, uint64_t aVersion, ManifestEntries aEntries)
+{
+  PeerOutput out;
+  const auto stamp = StampOf(aVersion, aEntries);
+  return aReplica.TakeWhole(kStart, stamp, std::move(aEntries), "peer", out);
+}
+
+} // namespace
+
+// Guards against a manifest that goes back (G8), by every way a version can
+// arrive. Without the check of the version each of them brings it back.
+TEST_CASE("a lower version is never taken", "[manifest]")
+{
+  for (const bool check : { true, false }) {
+    CAPTURE(check);
+    ManifestReplica replica({ .mCheckVersion = check });
+    REQUIRE(Take(replica, 5, Entries("five")));
+    CHECK(Take(replica, 4, Entries("four")) != check);
+    PeerOutput out;
+    CHECK(replica.TakeDeltas(
+            kStart, { Delta(0, {}, 3, Entries("three")) }, "peer", out) !=
+          check);
+    CHECK((replica.Stamp().mVersion == 5) == check);
+  }
+}
+
+// Guards against content that is not what was published. Without the check of
+// the digest it comes into force.
+TEST_CASE("content without its digest is refused", "[manifest]")
+{
+  for (const bool check : { true, false }) {
+    CAPTURE(check);
+    ManifestReplica replica({ .mCheckDigest = check });
+    REQUIRE(Take(replica, 1, Entries("one")));
+    auto delta = Delta(1, Entries("one"), 2, Entries("two"));
+    delta.mSet[0].second = "forged";
+    PeerOutput out;
+    CHECK(replica.TakeDeltas(kStart, { delta }, "peer", out) != check);
+    auto stamp = StampOf(3, Entries("three"));
+    CHECK(replica.TakeWhole(kStart, stamp, Entries("forged"), "peer", out) !=
+          check);
+    CHECK((replica.Stamp().mVersion == 1) == check);
+    CHECK(out.mAudit.size() == 2);
+  }
+}
+
+// Guards against two contents under one version that go unnoticed, and against
+// an alarm for each ping.
+TEST_CASE("a fork is rejected and reported once", "[manifest]")
+{
+  Pair pair;
+  REQUIRE(Take(pair.mNodes[0], 2, Entries("left")));
+  REQUIRE(Take(pair.mNodes[1], 2, Entries("right")));
+  for (int i = 0; i < 5; ++i) {
+    pair.Announce();
+  }
+  pair.Run(seconds(3));
+  CHECK(pair.Count(AuditKind::ManifestFork) == 2);
+  CHECK(pair.mNodes[1].Entries() == Entries("right"));
+  // The next version ends the fork, although its delta follows on one side.
+  PeerOutput out;
+  REQUIRE(
+    pair.mNodes[0].TakeDeltas(pair.mNow,
+                              { Delta(2, Entries("left"), 3, Entries("both")) },
+                              "store",
+                              out));
+  pair.Run(seconds(3));
+  CHECK(pair.mNodes[1].Stamp() == pair.mNodes[0].Stamp());
+}
+
+// Guards against nodes that stay behind when they have missed versions.
+TEST_CASE("missing deltas are pulled in order", "[manifest]")
+{
+  Pair pair({ .mRumors = false });
+  REQUIRE(Take(pair.mNodes[0], 1, Entries("0")));
+  REQUIRE(Take(pair.mNodes[1], 1, Entries("0")));
+  for (uint64_t i = 1; i <= 100; ++i) {
+    PeerOutput out;
+    REQUIRE(pair.mNodes[0].TakeDeltas(
+      pair.mNow,
+      { Delta(
+        i, Entries(std::to_string(i - 1)), i + 1, Entries(std::to_string(i))) },
+      "store",
+      out));
+  }
+  pair.Announce();
+  CHECK(pair.mNodes[1].Stamp().mVersion == 101);
+  CHECK(pair.mNodes[1].Entries() == Entries("100"));
+  CHECK(pair.mBytes[0] < 20'000);
+}
+
+// Guards against a damaged delta that stops a node: it then takes the whole
+// manifest.
+TEST_CASE("the whole manifest replaces a delta that fails", "[manifest]")
+{
+  Pair pair({ .mRumors = false });
+  REQUIRE(Take(pair.mNodes[0], 1, Entries("one")));
+  REQUIRE(Take(pair.mNodes[1], 1, Entries("one")));
+  PeerOutput out;
+  REQUIRE(pair.mNodes[0].TakeDeltas(
+    pair.mNow, { Delta(1, Entries("one"), 2, Entries("two")) }, "store", out));
+  auto damaged = Delta(1, Entries("one"), 2, Entries("two"));
+  damaged.mSet[0].second = "other";
+  PeerOutput received;
+  pair.mNodes[1].MessageArrived(
+    pair.mNow,
+    Pair::From(
+      0, ManifestRumor{ .mManifest = damaged.mTo, .mDeltas = { damaged } }),
+    received);
+  pair.Carry(1, std::move(received));
+  pair.Run(seconds(3));
+  CHECK(pair.mNodes[1].Stamp().mVersion == 2);
+  CHECK(pair.mNodes[1].Entries() == Entries("two"));
+}
+
+// Guards against transfers that exceed the link or a message, and against one
+// that starts anew with each change: 15,000 changes a day come every 6 s.
+TEST_CASE("a manifest of 1 MB arrives in pages during changes", "[manifest]")
+{
+  Pair pair({ .mRumors = false });
+  auto entries = Entries("p", 10'000);
+  REQUIRE(Take(pair.mNodes[0], 1, entries));
+  uint64_t version = 1;
+  uint64_t most = 0;
+  for (int second = 0; second < 30; ++second) {
+    const uint64_t before = pair.mBytes[0];
+    pair.Announce();
+    pair.Run(seconds(1));
+    most = std::max(most, pair.mBytes[0] - before);
+    if (second % 2 == 1) {
+      const auto old = entries;
+      entries["callers/changing"] = std::to_string(second);
+      PeerOutput out;
+      REQUIRE(
+        pair.mNodes[0].TakeDeltas(pair.mNow,
+                                  { Delta(version, old, version + 1, entries) },
+                                  "store",
+                                  out));
+      ++version;
+    }
+  }
+  pair.Announce();
+  CHECK(pair.mNodes[1].Stamp() == pair.mNodes[0].Stamp());
+  CHECK(pair.mLargest <= 64 * 1024);
+  CHECK(most <= 5 * 50 * 1024);
+}
+
+// Guards against a node that spends more than its 9 KB/s because many new
+// nodes ask it for the whole manifest.
+TEST_CASE("whole transfers stay within the budget of a node", "[manifest]")
+{
+  ManifestReplica server({});
+  REQUIRE(Take(server, 1, Entries("p", 10'000)));
+  uint64_t bytes = 0;
+  for (int i = 0; i < 600 * 10; ++i) {
+    const TimePoint now = kStart + milliseconds(100) * i;
+    PeerOutput out;
+    server.MessageArrived(
+      now, Pair::From(i % 50, ManifestPull{ .mFirstEntry = 0 }), out);
+    for (const auto& send : out.mSends) {
+      msgpack::sbuffer buf;
+      msgpack::pack(buf, std::get<ManifestPage>(send.mMessage));
+      bytes += buf.size();
+    }
+  }
+  CHECK(bytes > 1024 * 1024);
+  CHECK(bytes / 600 < 9000);
+}
+
+// Guards against a version that this build cannot read: the old one stays in
+// force, and the next readable one is taken.
+TEST_CASE("an unreadable version is refused once", "[manifest]")
+{
+  Pair pair;
+  REQUIRE(Take(pair.mNodes[0], 1, Entries("one")));
+  const ManifestEntries unreadable{ { "unheard/of", "x" } };
+  PeerOutput out;
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(pair.mNodes[0].TakeWhole(
+      kStart, StampOf(2, unreadable), unreadable, "peer", out));
+  }
+  CHECK(out.mAudit.size() == 1);
+  CHECK(out.mAudit[0].mKind == AuditKind::ManifestRefused);
+  CHECK(pair.mNodes[0].InForce()->mVersion == 1);
+  CHECK(Take(pair.mNodes[0], 3, Entries("three")));
+}
+
+// Guards against rumors that exceed a datagram.
+TEST_CASE("a rumor fits into a datagram", "[manifest]")
+{
+  for (const int callers : { 1, 5, 12, 13, 14, 50 }) {
+    CAPTURE(callers);
+    Pair pair;
+    REQUIRE(Take(pair.mNodes[0], 1, Entries("one")));
+    PeerOutput out;
+    REQUIRE(pair.mNodes[0].TakeDeltas(
+      kStart,
+      { Delta(1, Entries("one"), 2, Entries("two", callers)) },
+      "store",
+      out));
+    PeerOutput ticked;
+    pair.mNodes[0].Tick(
+      kStart, [](size_t) { return std::vector<PeerAddress>{ {} }; }, ticked);
+    REQUIRE(ticked.mSends.size() == 1);
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, std::get<ManifestRumor>(ticked.mSends[0].mMessage));
+    CHECK(buf.size() <= 1000);
+  }
+}
+
+// Guards against data centres without watchers or with many, and against an
+// election in which one loss changes both.
+TEST_CASE("two watchers are elected", "[manifest]")
+{
+  std::vector<NodeId> nodes;
+  for (int i = 0; i < 820; ++i) {
+    nodes.push_back({ "host-" + std::to_string(i) });
+  }
+  const auto elected = [](const std::vector<NodeId>& aNodes) {
+    std::vector<NodeId> result;
+    for (const auto& node : aNodes) {
+      auto others = aNodes;
+      std::erase(others, node);
+      if (WatcherElection::IsElected("dc-1", node, others)) {
+        result.push_back(node);
+      }
+    }
+    return result;
+  };
+  const auto first = elected(nodes);
+  REQUIRE(first.size() == 2);
+  std::erase(nodes, first[0]);
+  const auto second = elected(nodes);
+  REQUIRE(second.size() == 2);
+  CHECK((second[0] == first[1] || second[1] == first[1]));
+  CHECK(elected({ { "alone" } }).size() == 1);
+}
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -147,6 +147,7 @@
                          const Envelope& aFrom,
                          const PingRequest& aRequest,
                          PeerOutput& aOut);
+  void NoteTime(TimePoint aNow, PeerOutput& aOut);
   void ResumeAfterPause(TimePoint aNow, Duration aPause, PeerOutput& aOut);
 
   // -- Updates (MembershipUpdate.cpp) --
@@ -239,7 +240,7 @@
   bool mTicked = false;
   bool mStale = false;
   TimePoint mStaleUntil{};
-  TimePoint mLastTick{};
+  TimePoint mLastEvent{};
   TimePoint mNextProbe{};
   TimePoint mNextGossip{};
   TimePoint mNextDeadProbe{};
--- a/libs/membership/src/Membership.cpp
+++ b/libs/membership/src/Membership.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** A gap between ticks above this is a pause of the process. Ticks come every
+/** A gap between events above this is a pause of the process. Ticks come every
  * 10 to 20 ms; shorter gaps are ordinary scheduling delays. */
 constexpr Duration kPause = milliseconds(700);
 
@@ -32,7 +32,7 @@
 {
   if (!mTicked) {
     mTicked = true;
-    mLastTick = aNow;
+    mLastEvent = aNow;
     mPageBytesAt = aNow;
     mNextProbe =
       aNow + FromSeconds(mRng.Uniform() * ToSeconds(mOptions.mProbePeriod));
@@ -40,11 +40,7 @@
     mNextDeadProbe = aNow + seconds(5);
     mNextForget = aNow + minutes(1);
   }
-  const Duration gap = aNow - mLastTick;
-  mLastTick = aNow;
-  if (gap > kPause && mOptions.mDetectPause) {
-    ResumeAfterPause(aNow, gap, aOut);
-  }
+  NoteTime(aNow, aOut);
   if (mStale && (aNow >= mStaleUntil || mTable.Live().empty())) {
     mStale = false;
   }
@@ -69,6 +65,16 @@
   }
 }
 
+void
+Membership::NoteTime(TimePoint aNow, PeerOutput& aOut)
+{
+  const Duration gap = aNow - mLastEvent;
+  mLastEvent = aNow;
+  if (mTicked && gap > kPause && mOptions.mDetectPause) {
+    ResumeAfterPause(aNow, gap, aOut);
+  }
+}
+
 void
 Membership::ResumeAfterPause(TimePoint aNow, Duration aPause, PeerOutput& aOut)
 {
@@ -101,6 +107,8 @@
                            const Envelope& aEnvelope,
                            PeerOutput& aOut)
 {
+  // A message may be the first event after a pause.
+  NoteTime(aNow, aOut);
   if (mSuperseded || mSelf.mState == MemberState::Left ||
       !CheckSender(aNow, aEnvelope, aOut)) {
     return false;
--- a/libs/node/src/ControlLogic.cpp
+++ b/libs/node/src/ControlLogic.cpp
@@ -22,6 +22,9 @@
  * the store's rates. */
 constexpr Duration kLoadByPeers = seconds(5);
 
+/** Period at which a node that is not ready reads a head that is absent. */
+constexpr Duration kHeadReadPeriod = seconds(10);
+
 constexpr Duration kElectionPeriod = milliseconds(500);
 
 /** A snapshot of 4,100 members takes about 2 ms to build; at most this often,
@@ -143,6 +146,7 @@
   uint32_t mAnswers = 0;
   TimePoint mAskedAt{};
   TimePoint mLoadAt{};
+  TimePoint mNextHeadRead{};
 
   bool mWatcher = false;
   uint64_t mElectionChanges = 0;
@@ -180,8 +184,12 @@
             Ping{ .mProbe = mLastAsk, .mManifest = mReplica.Stamp() } });
     }
   }
-  if (mOptions.mHasStore && mStore.MayCall(aNow) &&
+  // Once the head is known, watchers and peers bring the content.
+  if (mOptions.mHasStore && mStore.MayCall(aNow) && !mHead.Head() &&
+      aNow >= mNextHeadRead &&
       !mStore.IsPending(StoreCalls::Purpose::HeadRead)) {
+    mNextHeadRead =
+      aNow + FromSeconds(ToSeconds(kHeadReadPeriod) * mRng.Uniform(0.5, 1.5));
     mHeadFailed = false;
     mHead.ReadHeadOnce(aNow, mStore, aActions);
   }
