--- a/libs/node/tests/ControlLogicTest.cpp
+++ b/libs/node/tests/ControlLogicTest.cpp
@@ -72,8 +72,7 @@
   for (const uint32_t n : { 10U, 40U, 160U }) {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
       CAPTURE(n, seed);
-      ControlFleet fleet(
-        { .mNodes = n, .mSeed = 200 + seed, .mLoss = 0.05 });
+      ControlFleet fleet({ .mNodes = n, .mSeed = 200 + seed, .mLoss = 0.05 });
       Form(fleet);
       fleet.Drain(2, seconds(5));
       const auto took = fleet.RunUntil(seconds(2), [&] {
@@ -83,9 +82,8 @@
       });
       CHECK(took);
       fleet.Run(seconds(5));
-      CHECK(fleet.RunUntil(seconds(3), [&] {
-        return fleet.Dissenters(2, IsGone) == 0;
-      }));
+      CHECK(fleet.RunUntil(seconds(3),
+                           [&] { return fleet.Dissenters(2, IsGone) == 0; }));
       CheckViolations(fleet);
     }
   }
@@ -172,9 +170,10 @@
         .mFromAddress = fleet.Slots()[6].mAddress,
         .mTo = aLogic.Self(),
         .mSequence = 1,
-        .mMessage = MemberUpdates{
-          .mUpdates = { { .mNode = { { "host-2" }, { UINT64_MAX / 2 } },
-                          .mState = MemberState::Dead } } } },
+        .mMessage =
+          MemberUpdates{
+            .mUpdates = { { .mNode = { { "host-2" }, { UINT64_MAX / 2 } },
+                            .mState = MemberState::Dead } } } },
       aActions);
     actions = aActions;
   });
@@ -184,9 +183,8 @@
   const auto& updates = std::get<MemberUpdates>(told->mMessage).mUpdates;
   REQUIRE(updates.size() == 1);
   CHECK(updates[0].mNode == fleet.Slots()[6].mLogic->Self());
-  CHECK(fleet.Dissenters(2, [](const auto* aUpdate) {
-    return !IsGone(aUpdate);
-  }) == 0);
+  CHECK(fleet.Dissenters(
+          2, [](const auto* aUpdate) { return !IsGone(aUpdate); }) == 0);
 }
 
 // Guards against mutual removal when the failures exceed the survivors' view.
@@ -287,9 +285,8 @@
     for (int i = 0; i < 10; ++i) {
       const auto report = fleet.Publish("p" + std::to_string(i));
       REQUIRE(report.mVerdict == PublishVerdict::Accepted);
-      const auto took = fleet.RunUntil(seconds(14), [&] {
-        return fleet.IsInForce(report.mInForce.mVersion);
-      });
+      const auto took = fleet.RunUntil(
+        seconds(14), [&] { return fleet.IsInForce(report.mInForce.mVersion); });
       CHECK(took);
     }
     CheckViolations(fleet);
@@ -305,8 +302,7 @@
   fleet.Store().Save();
   fleet.Publish("second");
   fleet.Publish("third");
-  REQUIRE(
-    fleet.RunUntil(seconds(14), [&] { return fleet.IsInForce(3); }));
+  REQUIRE(fleet.RunUntil(seconds(14), [&] { return fleet.IsInForce(3); }));
   fleet.Store().Restore();
   fleet.Run(seconds(45));
   CHECK(fleet.IsInForce(3));
@@ -370,9 +366,8 @@
   fleet.Run(seconds(10));
   CHECK(watchers().size() == 5);
   const auto report = fleet.Publish("after");
-  CHECK(fleet.RunUntil(seconds(14), [&] {
-    return fleet.IsInForce(report.mInForce.mVersion);
-  }));
+  CHECK(fleet.RunUntil(
+    seconds(14), [&] { return fleet.IsInForce(report.mInForce.mVersion); }));
   // While the store is down, calls become rare.
   fleet.mStoreDown = true;
   fleet.Run(seconds(60));
--- a/libs/node/tests/Sim.cpp
+++ b/libs/node/tests/Sim.cpp
@@ -157,6 +157,13 @@
       mViolations.push_back(
         fmt::format("{} drained with work in flight", host.mId.mValue));
     }
+    for (const Sent& call : mCalls) {
+      if (call.mHost == aHost && call.mHostEpoch == aEpoch && !call.mAnswer &&
+          !call.mGone) {
+        mViolations.push_back(
+          fmt::format("{} drained with a caller waiting", host.mId.mValue));
+      }
+    }
     Kill(aHost);
   }
 }
@@ -443,6 +450,42 @@
   return index;
 }
 
+size_t
+Sim::AskKey(size_t aHost,
+            const std::string& aService,
+            const std::string& aClass)
+{
+  const CallerHandle handle{ ++mLastHandle };
+  const size_t index = mCalls.size();
+  mCalls.push_back({ .mHandle = handle,
+                     .mHost = aHost,
+                     .mHostEpoch = mHosts[aHost].mEpoch,
+                     .mSent = mNow,
+                     .mDeadline = mNow + seconds(1) });
+  mByHandle[handle.mValue] = index;
+  Post(aHost, mHosts[aHost].mEpoch, [this, aHost, handle, aService, aClass] {
+    Actions actions;
+    mHosts[aHost].mNode->KeyRequested(mNow,
+                                      { .mCaller = handle,
+                                        .mCallerName = "web",
+                                        .mService = aService,
+                                        .mRequestClass = aClass },
+                                      actions);
+    Carry(aHost, std::move(actions));
+  });
+  return index;
+}
+
+size_t
+Sim::WorkInFlight() const
+{
+  size_t count = 0;
+  for (const Host& host : mHosts) {
+    count += host.mWork.size();
+  }
+  return count;
+}
+
 void
 Sim::HangUp(size_t aCall)
 {
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -164,7 +164,13 @@
               const std::string& aKey,
               Duration aTimeout = {},
               const std::string& aCaller = "web");
+  /** Asks for an idempotency key ahead of time. @return index into Calls. */
+  size_t AskKey(size_t aHost,
+                const std::string& aService,
+                const std::string& aClass);
   void HangUp(size_t aCall);
+  /** @return executions at the upstreams of all hosts. */
+  [[nodiscard]] size_t WorkInFlight() const;
   std::function<void(size_t)> mOnAnswer;
 
   // -- Observation --
--- a/libs/node/tests/SimUpstream.cpp
+++ b/libs/node/tests/SimUpstream.cpp
@@ -130,7 +130,11 @@
     });
     return;
   }
-  const double mean = ToSeconds(Model(host.mService).mRun) * host.mSlowness;
+  // More calls than slots share the processors of the upstream.
+  const ServiceModel& model = Model(host.mService);
+  const double sharing =
+    std::max(1.0, double(host.mWork.size()) / model.mSlots);
+  const double mean = ToSeconds(model.mRun) * host.mSlowness * sharing;
   After(FromSeconds(mRng.Uniform(0.2, 1) * mean),
         [this, aHost, run, execution] { CallChildren(aHost, run, execution); });
 }
