Give answers on the thread that has them

Cause: each call in flight held a worker, so that the pool had to be as large as the limit of calls, and each answer cost a switch to the worker that waited for it. Slow readers held a worker for the write timeout.

Handlers now return at once and the answer is written, without blocking, by the thread that received it; the rest of a partial write waits in the epoll set. 32 workers serve each port.

A drained node refuses new calls for one more second, so that those sent before its peers learned of the drain are answered as not run.

--- a/libs/server/include/server/CallerServer.h
+++ b/libs/server/include/server/CallerServer.h
@@ -1,12 +1,9 @@
 #pragma once
 
 #include <atomic>
-#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <mutex>
-#include <optional>
 #include <string>
 
 #include <tbb/concurrent_hash_map.h>
@@ -22,7 +19,7 @@
  * HTTP interface of a node: calls of external callers on the caller port, and
  * child calls, announcements and the operators' endpoints on the local port.
  * Each port has workers of its own, so that child calls never wait behind
- * external calls.
+ * external calls. No worker waits for an answer.
  *
  * Safe for use by several threads. Hooks are called on workers.
  */
@@ -51,7 +48,7 @@
   CallerServer(Options aOptions, Hooks aHooks, Metrics& aMetrics);
 
   Status Start();
-  /** Hands the final answer to the worker that waits for it. */
+  /** Writes the final answer to its caller. Never blocks. */
   void Answer(AnswerCaller aAnswer);
   void Sweep(TimePoint aNow);
   /** @return the number of requests that were cut off. */
@@ -67,27 +64,30 @@
   /** One request that waits for its answer. */
   struct Waiter
   {
-    std::mutex mMutex; ///< Guards the members below.
-    std::condition_variable mReady;
-    std::optional<AnswerCaller> mAnswer;
-    bool mGone = false;
+    HttpListener* mListener = nullptr;
+    HttpListener::ConnectionPtr mConnection;
+    TimePoint mStart{};
+    std::string mTrace; ///< Header traceparent of the request.
+    bool mForKey = false;
   };
+  using ConnectionPtr = HttpListener::ConnectionPtr;
 
-  HttpResponse ServeCaller(HttpRequest aRequest, HttpConnection& aConnection);
-  HttpResponse ServeLocal(HttpRequest aRequest, HttpConnection& aConnection);
-  HttpResponse ServeCall(HttpRequest aRequest,
-                         HttpConnection& aConnection,
-                         bool aFromUpstream);
-  HttpResponse ServeKey(const HttpRequest& aRequest,
-                        HttpConnection& aConnection);
+  void ServeCaller(HttpRequest aRequest, const ConnectionPtr& aConnection);
+  void ServeLocal(HttpRequest aRequest, const ConnectionPtr& aConnection);
+  void ServeCall(HttpRequest aRequest,
+                 const ConnectionPtr& aConnection,
+                 bool aFromUpstream);
+  void ServeKey(const HttpRequest& aRequest, const ConnectionPtr& aConnection);
   HttpResponse ServeAnnouncement(const HttpRequest& aRequest);
-  template<class Submit>
-  AnswerCaller Await(HttpConnection& aConnection, Submit aSubmit);
+  CallerHandle Enter(Waiter aWaiter);
+  bool Leave(CallerHandle aHandle, Waiter& aWaiter);
+  void WatchConnection(CallerHandle aHandle, const ConnectionPtr& aConnection);
+  HttpResponse Render(const Waiter& aWaiter, AnswerCaller aAnswer);
 
-  const Hooks mHooks;
+  Hooks mHooks; ///< Constant.
   Metrics& mMetrics;
   std::atomic<uint64_t> mNextHandle = 1;
-  tbb::concurrent_hash_map<uint64_t, std::shared_ptr<Waiter>> mWaiters;
+  tbb::concurrent_hash_map<uint64_t, Waiter> mWaiters;
   HttpListener mCaller;
   HttpListener mLocal;
 };
--- a/libs/server/include/server/HttpConnection.h
+++ b/libs/server/include/server/HttpConnection.h
@@ -3,16 +3,19 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "base/Time.h"
 #include "server/HttpFraming.h"
+#include "wire/Http.h"
 
 namespace amaranthgap {
 
 /**
- * One accepted connection of an HttpListener. At most one worker reads, serves
- * and writes at a time; the mutex covers what other threads look at.
+ * One accepted connection of an HttpListener. At most one thread holds it at a
+ * time: a worker that reads, or whoever answers its request. The mutex covers
+ * what other threads look at.
  */
 class HttpConnection
 {
@@ -21,7 +24,8 @@
   {
     Idle,    ///< Waits for the first byte of a request.
     Reading, ///< A request has arrived in part.
-    Serving,
+    Serving, ///< A request is with its handler.
+    Writing, ///< A part of an answer waits for the client to read.
     Closing, ///< The answer is sent; what still arrives is discarded.
   };
 
@@ -48,22 +52,31 @@
   };
 
   ReadResult ReadAvailable(size_t aMaxBuffer);
-  bool WriteAll(const std::string& aData, Duration aTimeout);
+  /** Writes what the socket takes at once and keeps the rest in mOutput.
+   * @return false when the connection is broken. */
+  bool WriteAvailable();
   void MarkGone();
 
-  const int mSocket;
-  const uint64_t mId;
+  int mSocket;  ///< Constant.
+  uint64_t mId; ///< Constant.
 
-  // Used by the worker that holds the connection.
+  // Used by the thread that holds the connection.
   std::string mBuffer;
   RequestFramer mFramer;
+  std::string mOutput;      ///< Rest of an answer.
+  bool mCounted = false;    ///< Is among the requests without a written answer.
+  bool mKeepAfter = true;   ///< Whether the present request allows another.
+  bool mCloseAfter = false; ///< Whether the present answer is the last.
+  bool mIsHead = false;     ///< The present request is a HEAD request.
 
   std::mutex mMutex; ///< Guards the members below.
   State mState = State::Idle;
   TimePoint mDeadline{}; ///< End of the present state; none while serving.
   bool mTimedOut = false;
-  bool mHeld = false;  ///< A worker reads, serves or writes.
-  bool mAgain = false; ///< An event came while a worker held the connection.
+  bool mHeld = false;
+  bool mAgain = false; ///< An event came while the connection was held.
+  bool mInHandler = false;
+  std::optional<HttpResponse> mResponse; ///< Given while in the handler.
   bool mGone = false;
   std::function<void()> mOnGone;
 };
--- a/libs/server/include/server/HttpFraming.h
+++ b/libs/server/include/server/HttpFraming.h
@@ -45,8 +45,8 @@
 public:
   struct Limits
   {
-    size_t mMaxHeaderBytes = 16 * 1024;
-    size_t mMaxBodyBytes = 512 * 1024;
+    size_t mMaxHeaderBytes = size_t(16) * 1024;
+    size_t mMaxBodyBytes = size_t(512) * 1024;
   };
 
   enum class Verdict : uint8_t
--- a/libs/server/include/server/HttpListener.h
+++ b/libs/server/include/server/HttpListener.h
@@ -23,8 +23,9 @@
 /**
  * HTTP/1.1 server on the library's accept loop and answer writer, with its own
  * handling of connections: open ones wait in one epoll set, and a worker gets
- * one only when input is there. A worker serves one complete request at a time;
- * senders that are slow hold no worker.
+ * one only when something can be done. A handler gets complete requests only;
+ * the answer may be given later, by any thread, so that neither slow clients
+ * nor calls in flight hold a worker.
  *
  * Workers grow on demand up to a limit. Safe for use by several threads.
  */
@@ -52,8 +53,11 @@
     std::atomic<uint64_t> mGoneWhileServed = 0;
   };
 
-  /** Answers one request; called on a worker, and may block. */
-  using Handler = std::function<HttpResponse(HttpRequest, HttpConnection&)>;
+  using ConnectionPtr = std::shared_ptr<HttpConnection>;
+
+  /** Takes one request on a worker. Respond is to be called once for it, by
+   * the handler or later. */
+  using Handler = std::function<void(HttpRequest, const ConnectionPtr&)>;
   /** Makes the answer to a request that cannot be read. */
   using Refusal = std::function<HttpResponse(int aStatus)>;
 
@@ -70,6 +74,9 @@
    * @return the number of requests that were cut off. */
   size_t Stop(Duration aGrace);
 
+  /** Answers the request that a connection serves. Never blocks. */
+  void Respond(const ConnectionPtr& aConnection, HttpResponse aResponse);
+
   /** Closes connections whose time is over; to be called twice a second. */
   void Sweep(TimePoint aNow);
 
@@ -79,43 +86,55 @@
   [[nodiscard]] const Counters& GetCounters() const { return mCounters; }
 
 private:
-  using ConnectionPtr = std::shared_ptr<HttpConnection>;
+  /** What the thread that holds a connection does next. */
+  enum class Next : uint8_t
+  {
+    Read,   ///< Go on with the buffer and the socket.
+    Wait,   ///< Give the connection back until an event comes.
+    Handed, ///< The connection belongs to whoever answers the request.
+    Removed,
+  };
 
   bool process_and_close_socket(socket_t aSocket) override;
 
   void StartWorker();
   void Work();
   void TakeEvent(uint64_t aId, uint32_t aEvents);
-  bool Serve(const ConnectionPtr& aConnection);
-  bool Discard(const ConnectionPtr& aConnection);
+  void Hold(const ConnectionPtr& aConnection);
+  Next Step(const ConnectionPtr& aConnection);
+  Next Read(const ConnectionPtr& aConnection);
+  Next ServeBuffered(const ConnectionPtr& aConnection, bool aEnded);
+  Next ServeRequest(const ConnectionPtr& aConnection);
+  Next WaitForMore(const ConnectionPtr& aConnection, bool aEnded);
+  Next FinishRequest(const ConnectionPtr& aConnection, HttpResponse aResponse);
+  Next ContinueWriting(const ConnectionPtr& aConnection);
+  Next Discard(const ConnectionPtr& aConnection);
+  Next Refuse(const ConnectionPtr& aConnection, int aStatus);
   bool Release(HttpConnection& aConnection);
-  bool ServeBuffered(const ConnectionPtr& aConnection, bool& aEnded);
-  bool ServeRequest(const ConnectionPtr& aConnection);
-  bool RefuseAndClose(const ConnectionPtr& aConnection, int aStatus);
-  void Linger(const ConnectionPtr& aConnection);
-  bool WriteAnswer(HttpConnection& aConnection,
-                   HttpResponse aResponse,
-                   bool aHead,
-                   bool aClose);
+  static std::string RenderBytes(HttpListener& aServer,
+                                 HttpResponse aResponse,
+                                 bool aHead,
+                                 bool aClose);
   void Arm(HttpConnection& aConnection, uint32_t aEvents);
   void SetState(HttpConnection& aConnection,
                 HttpConnection::State aState,
                 Duration aLimit);
-  void Remove(const ConnectionPtr& aConnection);
+  void Uncount(HttpConnection& aConnection);
+  Next Remove(const ConnectionPtr& aConnection);
   ConnectionPtr Find(uint64_t aId);
 
-  const Options mOptions;
-  const Handler mHandler;
-  const Refusal mRefusal;
+  Options mOptions; ///< Constant, like the next two.
+  Handler mHandler;
+  Refusal mRefusal;
   Counters mCounters;
-  int mEpoll = -1;
+  std::atomic<int> mEpoll = -1;
   int mPort = 0;
   std::thread mAcceptThread;
   std::atomic<bool> mAccepting = false;
   std::atomic<bool> mStopping = false;
   std::atomic<uint32_t> mWorkers = 0;
   std::atomic<uint32_t> mIdleWorkers = 0;
-  std::atomic<uint32_t> mServing = 0;
+  std::atomic<uint32_t> mServing = 0; ///< Requests without a written answer.
 
   std::mutex mMutex; ///< Guards the members below.
   std::condition_variable mWorkerEnded;
--- a/libs/server/include/server/NodeProcess.h
+++ b/libs/server/include/server/NodeProcess.h
@@ -82,8 +82,8 @@
   void AddShellMetrics(MetricsText& aText);
   void AddLogicMetrics(MetricsText& aText);
 
-  const Settings mSettings;
-  const NodeRef mFirstSelf;
+  Settings mSettings; ///< Constant.
+  NodeRef mFirstSelf; ///< Constant; the incarnation may change in joining.
   Logger mLogger;
   Metrics mMetrics;
   Logic mLogic;
--- a/libs/server/include/server/PeerTransport.h
+++ b/libs/server/include/server/PeerTransport.h
@@ -44,7 +44,7 @@
     Duration mIdleTimeout = seconds(60);
     Duration mConnectTimeout = seconds(2);
     /** Bytes that may wait for one addressee that does not read. */
-    size_t mMaxPendingBytes = 32 * 1024 * 1024;
+    size_t mMaxPendingBytes = size_t(32) * 1024 * 1024;
   };
 
   struct Hooks
@@ -155,9 +155,9 @@
   Status OpenStreamListener();
   Status OpenDatagramSocket();
 
-  const Options mOptions;
-  const Hooks mHooks;
-  const Codec mCodec;
+  Options mOptions; ///< Constant, like the next two.
+  Hooks mHooks;
+  Codec mCodec;
   ReplayWindow mReplays;
   Counters mCounters;
   std::atomic<uint64_t> mSequence = 0;
--- a/libs/server/include/server/UpstreamClient.h
+++ b/libs/server/include/server/UpstreamClient.h
@@ -36,7 +36,7 @@
   {
     uint32_t mMaxCalls = 256;
     /** Below the limit of a reply, which carries the answer. */
-    size_t mMaxAnswerBytes = 960 * 1024;
+    size_t mMaxAnswerBytes = size_t(960) * 1024;
     Duration mConnectTimeout = seconds(1);
     /** Shorter than the keep-alive time of common servers, so that they seldom
      * close a connection at the moment of its use. */
@@ -80,8 +80,8 @@
   ConnectionPtr TakeIdle(const std::string& aAddress);
   void PutIdle(const std::string& aAddress, ConnectionPtr aConnection);
 
-  const Options mOptions;
-  const Hook mHook;
+  Options mOptions; ///< Constant.
+  Hook mHook;       ///< Constant.
   std::atomic<bool> mStopping = false;
   tbb::concurrent_hash_map<uint64_t, CallPtr> mCalls;
 
--- a/libs/server/include/server/WorkerPool.h
+++ b/libs/server/include/server/WorkerPool.h
@@ -36,7 +36,7 @@
 private:
   void Work();
 
-  const uint32_t mMaxThreads;
+  uint32_t mMaxThreads; ///< Constant.
   tbb::concurrent_bounded_queue<std::function<void()>> mTasks;
   std::mutex mMutex; ///< Guards the members below.
   bool mStopping = false;
--- a/libs/server/src/CallerInterface.cpp
+++ b/libs/server/src/CallerInterface.cpp
@@ -23,8 +23,9 @@
 bool
 IsPlainText(std::string_view aText)
 {
-  return std::all_of(
-    aText.begin(), aText.end(), [](char c) { return c > ' ' && c < 0x7f; });
+  return std::all_of(aText.begin(), aText.end(), [](char aChar) {
+    return aChar > ' ' && aChar < 0x7f;
+  });
 }
 
 bool
--- a/libs/server/src/CallerServer.cpp
+++ b/libs/server/src/CallerServer.cpp
@@ -1,5 +1,7 @@
 #include "server/CallerServer.h"
 
+#include <algorithm>
+
 #include "server/CallerInterface.h"
 
 namespace amaranthgap {
@@ -8,12 +10,9 @@
 
 constexpr std::string_view kKeyPath = "/v1/idempotency-key";
 constexpr std::string_view kAnnouncePath = "/v1/announce";
-// Workers above the limit of calls: they let the node refuse what exceeds it
-// at once, where a lack of workers would let it wait unseen.
-constexpr uint32_t kSpareWorkers = 32;
-// Child calls that the executions of one node make at the same time.
-constexpr uint32_t kChildCallsPerExecution = 4;
-constexpr size_t kMaxBody = 512 * 1024;
+// Threads that read, decide and write; none of them waits for an answer.
+constexpr uint32_t kWorkers = 32;
+constexpr size_t kMaxBody = size_t(512) * 1024;
 
 std::string_view
 PathOf(const HttpRequest& aRequest)
@@ -46,14 +45,11 @@
                                       .mMaxBodyBytes = kMaxBody };
   return { .mCaller = { .mAddress = aSettings.mCallerAddress,
                         .mMaxConnections = aSettings.mMaxCallerConnections,
-                        .mMaxWorkers =
-                          aSettings.mMaxCallerCalls + kSpareWorkers,
+                        .mMaxWorkers = kWorkers,
                         .mLimits = limits },
            .mLocal = { .mAddress = aSettings.mLocalAddress,
                        .mMaxConnections = aSettings.mMaxCallerConnections,
-                       .mMaxWorkers =
-                         aSettings.mMaxUpstreamCalls * kChildCallsPerExecution +
-                         kSpareWorkers,
+                       .mMaxWorkers = kWorkers,
                        .mLimits = limits } };
 }
 
@@ -62,14 +58,14 @@
   , mMetrics(aMetrics)
   , mCaller(
       std::move(aOptions.mCaller),
-      [this](HttpRequest aRequest, HttpConnection& aConnection) {
-        return ServeCaller(std::move(aRequest), aConnection);
+      [this](HttpRequest aRequest, const ConnectionPtr& aConnection) {
+        ServeCaller(std::move(aRequest), aConnection);
       },
       RenderFaulty)
   , mLocal(
       std::move(aOptions.mLocal),
-      [this](HttpRequest aRequest, HttpConnection& aConnection) {
-        return ServeLocal(std::move(aRequest), aConnection);
+      [this](HttpRequest aRequest, const ConnectionPtr& aConnection) {
+        ServeLocal(std::move(aRequest), aConnection);
       },
       RenderFaulty)
 {
@@ -97,126 +93,149 @@
   mLocal.Sweep(aNow);
 }
 
+// -- Waiting requests -------------------------------------------------------
+
+CallerHandle
+CallerServer::Enter(Waiter aWaiter)
+{
+  const CallerHandle handle{ mNextHandle++ };
+  aWaiter.mStart = std::chrono::steady_clock::now();
+  mWaiters.insert({ handle.mValue, std::move(aWaiter) });
+  return handle;
+}
+
+// Takes a waiting request out; only one thread succeeds.
+bool
+CallerServer::Leave(CallerHandle aHandle, Waiter& aWaiter)
+{
+  decltype(mWaiters)::accessor found;
+  if (!mWaiters.find(found, aHandle.mValue)) {
+    return false;
+  }
+  aWaiter = std::move(found->second);
+  mWaiters.erase(found);
+  return true;
+}
+
 void
 CallerServer::Answer(AnswerCaller aAnswer)
 {
-  std::shared_ptr<Waiter> waiter;
-  if (decltype(mWaiters)::const_accessor found;
-      mWaiters.find(found, aAnswer.mCaller.mValue)) {
-    waiter = found->second;
-  }
-  if (!waiter) {
+  Waiter waiter;
+  if (!Leave(aAnswer.mCaller, waiter)) {
     return;
   }
-  const std::scoped_lock lock(waiter->mMutex);
-  waiter->mAnswer = std::move(aAnswer);
-  waiter->mReady.notify_one();
+  HttpResponse response = Render(waiter, std::move(aAnswer));
+  mMetrics.Observe(Latency::Call,
+                   std::chrono::steady_clock::now() - waiter.mStart);
+  waiter.mListener->Respond(waiter.mConnection, std::move(response));
 }
 
-template<class Submit>
-AnswerCaller
-CallerServer::Await(HttpConnection& aConnection, Submit aSubmit)
+void
+CallerServer::WatchConnection(CallerHandle aHandle,
+                              const ConnectionPtr& aConnection)
 {
-  const CallerHandle handle{ mNextHandle++ };
-  const auto waiter = std::make_shared<Waiter>();
-  mWaiters.insert({ handle.mValue, waiter });
-  aSubmit(handle);
-  aConnection.SetOnGone([this, handle, waiter] {
-    mHooks.mCallerGone(handle);
-    const std::scoped_lock lock(waiter->mMutex);
-    waiter->mGone = true;
-    waiter->mReady.notify_one();
-  });
-  AnswerCaller answer{ .mCaller = handle,
-                       .mOutcome = Outcome::MayHaveRun,
-                       .mReason = Reason::CallerGone };
-  {
-    std::unique_lock lock(waiter->mMutex);
-    waiter->mReady.wait(
-      lock, [&] { return waiter->mAnswer.has_value() || waiter->mGone; });
-    if (waiter->mAnswer) {
-      answer = std::move(*waiter->mAnswer);
+  aConnection->SetOnGone([this, aHandle] {
+    Waiter waiter;
+    if (Leave(aHandle, waiter)) {
+      mHooks.mCallerGone(aHandle);
+      waiter.mListener->Respond(waiter.mConnection, {});
     }
-  }
-  aConnection.SetOnGone({});
-  mWaiters.erase(handle.mValue);
-  return answer;
+  });
 }
 
 HttpResponse
-CallerServer::ServeCaller(HttpRequest aRequest, HttpConnection& aConnection)
+CallerServer::Render(const Waiter& aWaiter, AnswerCaller aAnswer)
 {
-  if (PathOf(aRequest) == kKeyPath) {
-    return aRequest.mMethod == "GET" ? ServeKey(aRequest, aConnection)
-                                     : RenderRefusal(405, Reason::BadRequest);
+  if (aWaiter.mForKey && !aAnswer.mIssuedKey.empty()) {
+    HttpResponse out =
+      RenderJson(200, "{\"key\":\"" + aAnswer.mIssuedKey + "\"}\n");
+    out.mHeaders.emplace_back("Idempotency-Key", aAnswer.mIssuedKey);
+    return out;
+  }
+  mMetrics.CountAnswer(ToName(aAnswer.mOutcome), ToName(aAnswer.mReason));
+  HttpResponse out = RenderAnswer(std::move(aAnswer));
+  if (!aWaiter.mTrace.empty() &&
+      FindHeader(out.mHeaders, "traceparent").empty()) {
+    out.mHeaders.emplace_back("traceparent", aWaiter.mTrace);
   }
-  return ServeCall(std::move(aRequest), aConnection, false);
+  return out;
 }
 
-HttpResponse
-CallerServer::ServeLocal(HttpRequest aRequest, HttpConnection& aConnection)
+// -- Requests ---------------------------------------------------------------
+
+void
+CallerServer::ServeCaller(HttpRequest aRequest,
+                          const ConnectionPtr& aConnection)
+{
+  if (PathOf(aRequest) != kKeyPath) {
+    ServeCall(std::move(aRequest), aConnection, false);
+  } else if (aRequest.mMethod == "GET") {
+    ServeKey(aRequest, aConnection);
+  } else {
+    mCaller.Respond(aConnection, RenderRefusal(405, Reason::BadRequest));
+  }
+}
+
+void
+CallerServer::ServeLocal(HttpRequest aRequest, const ConnectionPtr& aConnection)
 {
   const std::string path(PathOf(aRequest));
   if (path.starts_with("/call/")) {
-    return ServeCall(std::move(aRequest), aConnection, true);
+    ServeCall(std::move(aRequest), aConnection, true);
+    return;
   }
+  HttpResponse response = RenderRefusal(405, Reason::BadRequest);
   if (path == kAnnouncePath) {
-    return aRequest.mMethod == "PUT" ? ServeAnnouncement(aRequest)
-                                     : RenderRefusal(405, Reason::BadRequest);
-  }
-  if (aRequest.mMethod != "GET" && aRequest.mMethod != "HEAD") {
-    return RenderRefusal(405, Reason::BadRequest);
+    if (aRequest.mMethod == "PUT") {
+      response = ServeAnnouncement(aRequest);
+    }
+  } else if (aRequest.mMethod == "GET" || aRequest.mMethod == "HEAD") {
+    const size_t question =
+      std::min(aRequest.mPath.find('?'), aRequest.mPath.size());
+    response = mHooks.mOperator(path, aRequest.mPath.substr(question));
   }
-  const size_t question =
-    std::min(aRequest.mPath.find('?'), aRequest.mPath.size());
-  return mHooks.mOperator(path, aRequest.mPath.substr(question));
+  mLocal.Respond(aConnection, std::move(response));
 }
 
-HttpResponse
+void
 CallerServer::ServeCall(HttpRequest aRequest,
-                        HttpConnection& aConnection,
+                        const ConnectionPtr& aConnection,
                         bool aFromUpstream)
 {
-  const auto start = std::chrono::steady_clock::now();
-  const std::string trace(FindHeader(aRequest.mHeaders, "traceparent"));
+  HttpListener& listener = aFromUpstream ? mLocal : mCaller;
+  std::string trace(FindHeader(aRequest.mHeaders, "traceparent"));
   auto parsed = ParseCall(std::move(aRequest), aFromUpstream);
   if (const auto* reason = std::get_if<Reason>(&parsed)) {
     mMetrics.CountAnswer(ToName(Outcome::NotRun), ToName(*reason));
-    return RenderRefusal(StatusOf(Outcome::NotRun, *reason), *reason);
+    listener.Respond(
+      aConnection, RenderRefusal(StatusOf(Outcome::NotRun, *reason), *reason));
+    return;
   }
   auto& call = std::get<CallerCall>(parsed);
-  AnswerCaller answer = Await(aConnection, [&](CallerHandle aHandle) {
-    call.mCaller = aHandle;
-    mHooks.mCallArrived(std::move(call));
-  });
-  mMetrics.CountAnswer(ToName(answer.mOutcome), ToName(answer.mReason));
-  HttpResponse response = RenderAnswer(std::move(answer));
-  if (!trace.empty() && FindHeader(response.mHeaders, "traceparent").empty()) {
-    response.mHeaders.emplace_back("traceparent", trace);
-  }
-  mMetrics.Observe(Latency::Call, std::chrono::steady_clock::now() - start);
-  return response;
+  call.mCaller = Enter({ .mListener = &listener,
+                         .mConnection = aConnection,
+                         .mTrace = std::move(trace) });
+  const CallerHandle handle = call.mCaller;
+  mHooks.mCallArrived(std::move(call));
+  WatchConnection(handle, aConnection);
 }
 
-HttpResponse
-CallerServer::ServeKey(const HttpRequest& aRequest, HttpConnection& aConnection)
+void
+CallerServer::ServeKey(const HttpRequest& aRequest,
+                       const ConnectionPtr& aConnection)
 {
   auto parsed = ParseKeyRequest(aRequest);
   if (const auto* reason = std::get_if<Reason>(&parsed)) {
-    return RenderRefusal(StatusOf(Outcome::NotRun, *reason), *reason);
+    mCaller.Respond(aConnection,
+                    RenderRefusal(StatusOf(Outcome::NotRun, *reason), *reason));
+    return;
   }
   auto& request = std::get<CallerKeyRequest>(parsed);
-  AnswerCaller answer = Await(aConnection, [&](CallerHandle aHandle) {
-    request.mCaller = aHandle;
-    mHooks.mKeyRequested(std::move(request));
-  });
-  if (answer.mIssuedKey.empty()) {
-    return RenderAnswer(std::move(answer));
-  }
-  HttpResponse response =
-    RenderJson(200, "{\"key\":\"" + answer.mIssuedKey + "\"}\n");
-  response.mHeaders.emplace_back("Idempotency-Key", answer.mIssuedKey);
-  return response;
+  request.mCaller = Enter(
+    { .mListener = &mCaller, .mConnection = aConnection, .mForKey = true });
+  const CallerHandle handle = request.mCaller;
+  mHooks.mKeyRequested(std::move(request));
+  WatchConnection(handle, aConnection);
 }
 
 HttpResponse
--- a/libs/server/src/HttpConnection.cpp
+++ b/libs/server/src/HttpConnection.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <cerrno>
 
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -81,29 +80,23 @@
 }
 
 bool
-HttpConnection::WriteAll(const std::string& aData, Duration aTimeout)
+HttpConnection::WriteAvailable()
 {
-  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
   size_t done = 0;
-  while (done < aData.size()) {
+  while (done < mOutput.size()) {
     const ssize_t n = send(mSocket,
-                           aData.data() + done,
-                           aData.size() - done,
+                           mOutput.data() + done,
+                           mOutput.size() - done,
                            MSG_DONTWAIT | MSG_NOSIGNAL);
     if (n >= 0) {
       done += size_t(n);
-      continue;
-    }
-    if (errno == EINTR) {
-      continue;
-    }
-    const auto left = ToMillis(deadline - std::chrono::steady_clock::now());
-    if ((errno != EAGAIN && errno != EWOULDBLOCK) || left <= 0) {
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR) {
       return false;
     }
-    pollfd fd{ .fd = mSocket, .events = POLLOUT, .revents = 0 };
-    poll(&fd, 1, int(left));
   }
+  mOutput.erase(0, done);
   return true;
 }
 
--- a/libs/server/src/HttpListener.cpp
+++ b/libs/server/src/HttpListener.cpp
@@ -165,8 +165,8 @@
     }
   }
   for (const auto& connection : open) {
-    ::shutdown(connection->mSocket, SHUT_RDWR);
     connection->MarkGone();
+    ::shutdown(connection->mSocket, SHUT_RDWR);
   }
   if (mEpoll < 0) {
     return cut;
@@ -183,7 +183,7 @@
   mWorkerEnded.wait(lock, [this] { return mWorkers == 0; });
   mConnections.clear();
   close(wake[0]);
-  close(std::exchange(mEpoll, -1));
+  close(mEpoll.exchange(-1));
   return cut;
 }
 
@@ -197,7 +197,10 @@
         !connection->mTimedOut && connection->mDeadline < aNow) {
       // The worker that is woken by this answers and closes.
       connection->mTimedOut = true;
-      ::shutdown(connection->mSocket, SHUT_RD);
+      ::shutdown(connection->mSocket,
+                 connection->mState == HttpConnection::State::Writing
+                   ? SHUT_RDWR
+                   : SHUT_RD);
     }
   }
 }
@@ -230,7 +233,8 @@
   if (!connection) {
     ++mCounters.mRefusedConnections;
     HttpConnection refused(aSocket, 0, mOptions.mLimits);
-    WriteAnswer(refused, mRefusal(503), false, true);
+    refused.mOutput = RenderBytes(*this, mRefusal(503), false, true);
+    refused.WriteAvailable();
     return false;
   }
   ++mCounters.mAccepted;
@@ -251,12 +255,22 @@
 }
 
 void
+HttpListener::Uncount(HttpConnection& aConnection)
+{
+  if (std::exchange(aConnection.mCounted, false)) {
+    --mServing;
+  }
+}
+
+HttpListener::Next
 HttpListener::Remove(const ConnectionPtr& aConnection)
 {
+  Uncount(*aConnection);
   // The socket is closed when the last reference goes, which also takes it out
   // of the epoll set.
   const std::scoped_lock lock(mMutex);
   mConnections.erase(aConnection->mId);
+  return Next::Removed;
 }
 
 void
@@ -274,6 +288,7 @@
 {
   const std::scoped_lock lock(aConnection.mMutex);
   aConnection.mState = aState;
+  aConnection.mTimedOut = false;
   aConnection.mDeadline = std::chrono::steady_clock::now() + aLimit;
 }
 
@@ -323,34 +338,32 @@
   if (!connection) {
     return;
   }
+  bool held = false;
   {
     const std::scoped_lock lock(connection->mMutex);
-    if (connection->mHeld) {
-      connection->mAgain = true;
-    }
-    if (!connection->mHeld) {
-      connection->mHeld = true;
-      aEvents = 0;
-    }
+    held = std::exchange(connection->mHeld, true);
+    connection->mAgain = connection->mAgain || held;
+  }
+  if (!held) {
+    Hold(connection);
+  } else if ((aEvents & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    // Armed for a client that disconnects while its request is served.
+    ++mCounters.mGoneWhileServed;
+    connection->MarkGone();
   }
-  if (aEvents != 0) {
-    // The event was armed for a client that disconnects while it is served; a
-    // request that has ended since then ignores it.
-    if ((aEvents & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-      ++mCounters.mGoneWhileServed;
-      connection->MarkGone();
-    }
-    return;
+}
+
+// Works on a connection until it must wait or is handed on.
+void
+HttpListener::Hold(const ConnectionPtr& aConnection)
+{
+  Next next = Step(aConnection);
+  while (next == Next::Read || (next == Next::Wait && !Release(*aConnection))) {
+    next = Step(aConnection);
   }
-  do {
-    if (!(connection->mState == HttpConnection::State::Closing
-            ? Discard(connection)
-            : Serve(connection))) {
-      return;
-    }
-  } while (!Release(*connection));
 }
 
+// Returns false when an event has come in the meantime.
 bool
 HttpListener::Release(HttpConnection& aConnection)
 {
@@ -360,147 +373,211 @@
     return false;
   }
   aConnection.mHeld = false;
-  Arm(aConnection, EPOLLIN | EPOLLRDHUP);
+  Arm(aConnection,
+      aConnection.mState == HttpConnection::State::Writing
+        ? EPOLLOUT
+        : EPOLLIN | EPOLLRDHUP);
   return true;
 }
 
-bool
-HttpListener::Discard(const ConnectionPtr& aConnection)
+HttpListener::Next
+HttpListener::Step(const ConnectionPtr& aConnection)
 {
-  aConnection->mBuffer.clear();
-  if (aConnection->ReadAvailable(mOptions.mLimits.mMaxBodyBytes) ==
-      HttpConnection::ReadResult::Ended) {
-    Remove(aConnection);
-    return false;
+  switch (aConnection->mState) {
+    case HttpConnection::State::Writing:
+      return ContinueWriting(aConnection);
+    case HttpConnection::State::Closing:
+      return Discard(aConnection);
+    default:
+      return Read(aConnection);
   }
-  return true;
 }
 
-// Returns whether the connection stays open.
-bool
-HttpListener::Serve(const ConnectionPtr& aConnection)
+// -- Requests ---------------------------------------------------------------
+
+HttpListener::Next
+HttpListener::Read(const ConnectionPtr& aConnection)
 {
   // Chunk lines take room beside the content.
   const size_t maxBuffer =
     mOptions.mLimits.mMaxHeaderBytes + 2 * mOptions.mLimits.mMaxBodyBytes;
   const auto result = aConnection->ReadAvailable(maxBuffer);
-  bool ended = result == HttpConnection::ReadResult::Ended;
-  if (!ServeBuffered(aConnection, ended)) {
-    return aConnection->mState == HttpConnection::State::Closing;
+  return ServeBuffered(aConnection,
+                       result == HttpConnection::ReadResult::Ended);
+}
+
+HttpListener::Next
+HttpListener::ServeBuffered(const ConnectionPtr& aConnection, bool aEnded)
+{
+  HttpConnection& connection = *aConnection;
+  switch (connection.mFramer.Advance(connection.mBuffer)) {
+    case RequestFramer::Verdict::Bad:
+      ++mCounters.mBadRequests;
+      return Refuse(aConnection, connection.mFramer.BadStatus());
+    case RequestFramer::Verdict::NeedMore:
+      return WaitForMore(aConnection, aEnded);
+    case RequestFramer::Verdict::Complete:
+      break;
   }
+  // A client that has closed its side does not wait for an answer.
+  return aEnded ? Remove(aConnection) : ServeRequest(aConnection);
+}
+
+HttpListener::Next
+HttpListener::WaitForMore(const ConnectionPtr& aConnection, bool aEnded)
+{
+  HttpConnection& connection = *aConnection;
   bool timedOut = false;
   {
-    const std::scoped_lock lock(aConnection->mMutex);
-    timedOut = aConnection->mTimedOut;
+    const std::scoped_lock lock(connection.mMutex);
+    timedOut = connection.mTimedOut;
+    if (connection.mState == HttpConnection::State::Idle &&
+        !connection.mBuffer.empty()) {
+      connection.mState = HttpConnection::State::Reading;
+      connection.mDeadline =
+        std::chrono::steady_clock::now() + mOptions.mRequestTimeout;
+    }
   }
-  if (timedOut && !aConnection->mBuffer.empty()) {
+  if (timedOut && !connection.mBuffer.empty()) {
     ++mCounters.mSlowRequests;
-    return RefuseAndClose(aConnection, 408);
+    return Refuse(aConnection, 408);
   }
-  if (ended || timedOut) {
-    Remove(aConnection);
-    return false;
+  if (aEnded || timedOut) {
+    return Remove(aConnection);
   }
-  if (aConnection->mBuffer.size() >= maxBuffer) {
-    return RefuseAndClose(aConnection, 413);
+  if (connection.mBuffer.size() >=
+      mOptions.mLimits.mMaxHeaderBytes + 2 * mOptions.mLimits.mMaxBodyBytes) {
+    return Refuse(aConnection, 413);
   }
-  return true;
+  if (connection.mFramer.TakeExpectation()) {
+    connection.mOutput = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!connection.WriteAvailable() || !connection.mOutput.empty()) {
+      return Remove(aConnection);
+    }
+  }
+  return Next::Wait;
 }
 
-bool
-HttpListener::ServeBuffered(const ConnectionPtr& aConnection, bool& aEnded)
+HttpListener::Next
+HttpListener::ServeRequest(const ConnectionPtr& aConnection)
 {
   HttpConnection& connection = *aConnection;
-  while (true) {
-    switch (connection.mFramer.Advance(connection.mBuffer)) {
-      case RequestFramer::Verdict::Bad:
-        ++mCounters.mBadRequests;
-        RefuseAndClose(aConnection, connection.mFramer.BadStatus());
-        return false;
-      case RequestFramer::Verdict::NeedMore:
-        if (connection.mFramer.TakeExpectation() &&
-            !connection.WriteAll("HTTP/1.1 100 Continue\r\n\r\n",
-                                 mOptions.mWriteTimeout)) {
-          aEnded = true;
-        }
-        if (std::scoped_lock lock(connection.mMutex);
-            connection.mState == HttpConnection::State::Idle &&
-            !connection.mBuffer.empty()) {
-          connection.mState = HttpConnection::State::Reading;
-          connection.mDeadline =
-            std::chrono::steady_clock::now() + mOptions.mRequestTimeout;
-        }
-        return true;
-      case RequestFramer::Verdict::Complete:
-        break;
-    }
-    // A client that has closed its side does not wait for an answer.
-    if (aEnded) {
-      return true;
-    }
-    if (!ServeRequest(aConnection)) {
-      return false;
+  ++mServing;
+  connection.mCounted = true;
+  connection.mKeepAfter = connection.mFramer.KeepsAlive();
+  HttpRequest request = connection.mFramer.TakeRequest();
+  connection.mIsHead = request.mMethod == "HEAD";
+  {
+    const std::scoped_lock lock(connection.mMutex);
+    connection.mState = HttpConnection::State::Serving;
+    connection.mInHandler = true;
+    Arm(connection, EPOLLRDHUP);
+  }
+  mHandler(std::move(request), aConnection);
+  std::optional<HttpResponse> response;
+  {
+    const std::scoped_lock lock(connection.mMutex);
+    connection.mInHandler = false;
+    std::swap(response, connection.mResponse);
+  }
+  return response ? FinishRequest(aConnection, std::move(*response))
+                  : Next::Handed;
+}
+
+void
+HttpListener::Respond(const ConnectionPtr& aConnection, HttpResponse aResponse)
+{
+  {
+    const std::scoped_lock lock(aConnection->mMutex);
+    if (aConnection->mInHandler) {
+      aConnection->mResponse = std::move(aResponse);
+      return;
     }
   }
+  const Next next = FinishRequest(aConnection, std::move(aResponse));
+  if (next == Next::Removed) {
+    return;
+  }
+  // The next request, if there is one, is left to a worker.
+  const std::scoped_lock lock(aConnection->mMutex);
+  aConnection->mHeld = false;
+  const bool waits = aConnection->mBuffer.empty() && !aConnection->mAgain &&
+                     aConnection->mState != HttpConnection::State::Writing;
+  aConnection->mAgain = false;
+  Arm(*aConnection, waits ? EPOLLIN | EPOLLRDHUP : EPOLLOUT);
 }
 
-bool
-HttpListener::ServeRequest(const ConnectionPtr& aConnection)
+HttpListener::Next
+HttpListener::FinishRequest(const ConnectionPtr& aConnection,
+                            HttpResponse aResponse)
 {
   HttpConnection& connection = *aConnection;
-  SetState(connection, HttpConnection::State::Serving, Duration::zero());
-  Arm(connection, EPOLLRDHUP);
-  ++mServing;
-  const bool keep = connection.mFramer.KeepsAlive();
-  HttpRequest request = connection.mFramer.TakeRequest();
-  const bool head = request.mMethod == "HEAD";
-  HttpResponse response = mHandler(std::move(request), connection);
   connection.SetOnGone({});
-  const bool close = !keep || !mAccepting || connection.IsGone();
-  const bool written =
-    !connection.IsGone() &&
-    WriteAnswer(connection, std::move(response), head, close);
   connection.mBuffer.erase(0, connection.mFramer.Length());
   connection.mFramer.Reset();
-  --mServing;
-  if (!written) {
-    Remove(aConnection);
-    return false;
+  connection.mCloseAfter = !connection.mKeepAfter || !mAccepting;
+  bool open = !connection.IsGone();
+  if (open) {
+    connection.mOutput = RenderBytes(
+      *this, std::move(aResponse), connection.mIsHead, connection.mCloseAfter);
+    open = connection.WriteAvailable();
+  }
+  if (!open) {
+    return Remove(aConnection);
+  }
+  if (!connection.mOutput.empty()) {
+    SetState(
+      connection, HttpConnection::State::Writing, mOptions.mWriteTimeout);
+    return Next::Wait;
+  }
+  return ContinueWriting(aConnection);
+}
+
+HttpListener::Next
+HttpListener::ContinueWriting(const ConnectionPtr& aConnection)
+{
+  HttpConnection& connection = *aConnection;
+  if (!connection.WriteAvailable()) {
+    return Remove(aConnection);
   }
-  if (close) {
-    Linger(aConnection);
-    return false;
+  if (!connection.mOutput.empty()) {
+    // A client that does not read is shut down by Sweep, so that writing fails.
+    return Next::Wait;
   }
-  SetState(connection, HttpConnection::State::Idle, mOptions.mIdleTimeout);
-  return true;
+  Uncount(connection);
+  if (!connection.mCloseAfter) {
+    SetState(connection, HttpConnection::State::Idle, mOptions.mIdleTimeout);
+    return Next::Read;
+  }
+  // Closing with unread input would reset the connection, and the client might
+  // lose the answer.
+  ::shutdown(connection.mSocket, SHUT_WR);
+  SetState(connection, HttpConnection::State::Closing, kLingerTime);
+  return Next::Wait;
 }
 
-bool
-HttpListener::RefuseAndClose(const ConnectionPtr& aConnection, int aStatus)
+HttpListener::Next
+HttpListener::Discard(const ConnectionPtr& aConnection)
 {
-  if (WriteAnswer(*aConnection, mRefusal(aStatus), false, true)) {
-    Linger(aConnection);
-    return true;
-  }
-  Remove(aConnection);
-  return false;
+  aConnection->mBuffer.clear();
+  return aConnection->ReadAvailable(mOptions.mLimits.mMaxBodyBytes) ==
+             HttpConnection::ReadResult::Ended
+           ? Remove(aConnection)
+           : Next::Wait;
 }
 
-void
-HttpListener::Linger(const ConnectionPtr& aConnection)
+HttpListener::Next
+HttpListener::Refuse(const ConnectionPtr& aConnection, int aStatus)
 {
-  // Closing with unread input would reset the connection, and the client might
-  // lose the answer.
-  ::shutdown(aConnection->mSocket, SHUT_WR);
-  SetState(*aConnection, HttpConnection::State::Closing, kLingerTime);
-  {
-    const std::scoped_lock lock(aConnection->mMutex);
-    aConnection->mTimedOut = false;
-  }
+  HttpConnection& connection = *aConnection;
+  connection.mCloseAfter = true;
+  connection.mOutput = RenderBytes(*this, mRefusal(aStatus), false, true);
+  SetState(connection, HttpConnection::State::Writing, mOptions.mWriteTimeout);
+  return ContinueWriting(aConnection);
 }
 
-bool
-HttpListener::WriteAnswer(HttpConnection& aConnection,
+std::string
+HttpListener::RenderBytes(HttpListener& aServer,
                           HttpResponse aResponse,
                           bool aHead,
                           bool aClose)
@@ -509,9 +586,9 @@
                             : "GET / HTTP/1.1\r\n\r\n");
   bool closed = false;
   tAnswer = &aResponse;
-  const bool made = process_request(stream, aClose, closed, nullptr);
+  aServer.process_request(stream, aClose, closed, nullptr);
   tAnswer = nullptr;
-  return made && aConnection.WriteAll(stream.mWritten, mOptions.mWriteTimeout);
+  return std::move(stream.mWritten);
 }
 
 } // namespace amaranthgap
--- a/libs/server/src/NodeProcess.cpp
+++ b/libs/server/src/NodeProcess.cpp
@@ -15,6 +15,10 @@
 constexpr uint64_t kTicksPerSecond = 100;
 // Answers that are decided are still written within this time.
 constexpr Duration kWriteGrace = seconds(1);
+// A drained node still refuses calls for this long, as not run: those that were
+// sent before its peers learned of the drain would otherwise be lost with the
+// connection and be reported as may have run.
+constexpr Duration kDrainLinger = seconds(1);
 constexpr Duration kFlushTime = milliseconds(300);
 
 int64_t
@@ -387,7 +391,9 @@
   Dispatch(
     [&](auto aNow, auto& aActions) { mLogic.DrainStarted(aNow, aActions); });
   std::string cause;
-  while (!mLogic.IsDrained(Now())) {
+  const TimePoint earliest =
+    start + std::min(kDrainLinger, mSettings.mDrainTimeout / 2);
+  while (!mLogic.IsDrained(Now()) || Now() < earliest) {
     if (TookSignal(milliseconds(10))) {
       cause = "second-signal";
       break;
--- a/libs/server/src/UpstreamConnection.cpp
+++ b/libs/server/src/UpstreamConnection.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 // The library reads a head line by line without a limit of its own.
-constexpr size_t kMaxAnswerHead = 64 * 1024;
+constexpr size_t kMaxAnswerHead = size_t(64) * 1024;
 
 bool
 WaitFor(int aSocket, short aEvents, TimePoint aDeadline)
@@ -141,8 +141,8 @@
     }
   }
 
-  const int mSocket;
-  const TimePoint mDeadline;
+  int mSocket;
+  TimePoint mDeadline;
   std::string mRequest;
   std::array<char, 16 * 1024> mBuffer{};
   size_t mTaken = 0;
--- a/libs/server/src/UpstreamConnection.h
+++ b/libs/server/src/UpstreamConnection.h
@@ -44,8 +44,8 @@
   static bool HasFraming(const httplib::Request& aRequest,
                          const httplib::Response& aResponse);
 
-  const std::string mHost;
-  const int mPort;
+  std::string mHost;
+  int mPort;
   int mSocket = -1;
   bool mReusable = false;
 };
--- a/libs/server/tests/HttpListenerTest.cpp
+++ b/libs/server/tests/HttpListenerTest.cpp
@@ -44,9 +44,18 @@
 class Fixture
 {
 public:
-  explicit Fixture(HttpListener::Options aOptions,
-                   HttpListener::Handler aHandler = Echo)
-    : mListener(std::move(aOptions), std::move(aHandler), Refuse)
+  using Handler = std::function<HttpResponse(HttpRequest, HttpConnection&)>;
+
+  explicit Fixture(HttpListener::Options aOptions, Handler aHandler = Echo)
+    : mListener(
+        std::move(aOptions),
+        [this, handler = std::move(aHandler)](
+          HttpRequest aRequest,
+          const HttpListener::ConnectionPtr& aConnection) {
+          mListener.Respond(aConnection,
+                            handler(std::move(aRequest), *aConnection));
+        },
+        Refuse)
   {
     REQUIRE(mListener.Start());
     mSweeper = std::thread([this] {
--- a/libs/wire/include/wire/Codec.h
+++ b/libs/wire/include/wire/Codec.h
@@ -3,7 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -12,6 +12,8 @@
 #include "base/Error.h"
 #include "wire/Messages.h"
 
+struct evp_mac_ctx_st; // EVP_MAC_CTX
+
 namespace amaranthgap {
 
 /** Version of the inner protocol that this build sends. It also takes the
@@ -78,12 +80,9 @@
 
   static constexpr size_t kTagBytes = 16;
   /** Limit of the largest kinds, for the sockets. */
-  static constexpr size_t kLargestMessage = 1024 * 1024;
+  static constexpr size_t kLargestMessage = size_t(1024) * 1024;
 
-  explicit Codec(Options aOptions)
-    : mOptions(std::move(aOptions))
-  {
-  }
+  explicit Codec(Options aOptions);
 
   /** @return the bytes, or an error when the message exceeds its limit. */
   [[nodiscard]] Result<std::string> Encode(const Envelope& aEnvelope) const;
@@ -104,6 +103,7 @@
   [[nodiscard]] Tag MakeTag(std::string_view aBytes) const;
 
   Options mOptions;
+  std::shared_ptr<evp_mac_ctx_st> mKeyed; ///< Copied for each tag.
 };
 
 } // namespace amaranthgap
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <cstring>
+#include <memory>
+#include <optional>
 
 #include <fmt/format.h>
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 namespace amaranthgap {
 
@@ -14,7 +17,8 @@
 
 constexpr size_t kKinds = std::variant_size_v<Message>;
 constexpr size_t kDatagram = 1200;
-constexpr size_t kPage = 64 * 1024;
+constexpr size_t kPage = size_t(64) * 1024;
+constexpr size_t kReport = size_t(16) * 1024;
 constexpr size_t kEnvelopeFields = 10;
 
 struct KindInfo
@@ -32,8 +36,8 @@
   { "key-request", 1024 },
   { "key-issued", 1024 },
   { "closing-record", Codec::kLargestMessage },
-  { "crash-report", 16 * 1024 },
-  { "usage-report", 16 * 1024 },
+  { "crash-report", kReport },
+  { "usage-report", kReport },
   { "ping", kDatagram },
   { "ack", kDatagram },
   { "ping-request", kDatagram },
@@ -142,18 +146,37 @@
   return aKind < kKinds ? kKindTable[aKind].mName : "unknown";
 }
 
+Codec::Codec(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+  EVP_MAC* mac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  std::string digest = "SHA256";
+  const std::array<OSSL_PARAM, 2> params{
+    OSSL_PARAM_construct_utf8_string(
+      OSSL_MAC_PARAM_DIGEST, digest.data(), digest.size()),
+    OSSL_PARAM_construct_end(),
+  };
+  mKeyed.reset(EVP_MAC_CTX_new(mac), &EVP_MAC_CTX_free);
+  EVP_MAC_init(mKeyed.get(),
+               reinterpret_cast<const unsigned char*>(mOptions.mKey.data()),
+               mOptions.mKey.size(),
+               params.data());
+  EVP_MAC_free(mac);
+}
+
 Codec::Tag
 Codec::MakeTag(std::string_view aBytes) const
 {
+  // Copying the keyed state is cheaper than looking the algorithm up and
+  // hashing the key for each message.
+  const std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)> context(
+    EVP_MAC_CTX_dup(mKeyed.get()), &EVP_MAC_CTX_free);
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int n = 0;
-  HMAC(EVP_sha256(),
-       mOptions.mKey.data(),
-       int(mOptions.mKey.size()),
-       reinterpret_cast<const unsigned char*>(aBytes.data()),
-       aBytes.size(),
-       digest.data(),
-       &n);
+  size_t n = 0;
+  EVP_MAC_update(context.get(),
+                 reinterpret_cast<const unsigned char*>(aBytes.data()),
+                 aBytes.size());
+  EVP_MAC_final(context.get(), digest.data(), &n, digest.size());
   Tag tag{};
   std::memcpy(tag.data(), digest.data(), tag.size());
   return tag;
