--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "Connections.h"
+#include "ControlSlopes.h"
 #include "LoadRun.h"
 
 using namespace amaranthgap;
@@ -74,6 +75,9 @@
     if (command == "load") {
       return RunLoad(argc - 1, argv + 1);
     }
+    if (command == "control-slopes") {
+      return RunControlSlopes(argc - 1, argv + 1);
+    }
     if (command == "connections") {
       return RunConnections(argc - 1, argv + 1);
     }
@@ -81,6 +85,8 @@
     fmt::print(stderr, "amaranthgap-bench {}: {}\n", command, e.what());
     return kUsageStatus;
   }
-  fmt::print(stderr, "usage: amaranthgap-bench load|connections [options]\n");
+  fmt::print(stderr,
+             "usage: amaranthgap-bench "
+             "load|connections|control-slopes [options]\n");
   return kUsageStatus;
 }
