--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -147,6 +147,7 @@
                          const Envelope& aFrom,
                          const PingRequest& aRequest,
                          PeerOutput& aOut);
+  void NoteTime(TimePoint aNow, PeerOutput& aOut);
   void ResumeAfterPause(TimePoint aNow, Duration aPause, PeerOutput& aOut);
 
   // -- Updates (MembershipUpdate.cpp) --
@@ -239,17 +240,15 @@
   bool mTicked = false;
   bool mStale = false;
   TimePoint mStaleUntil{};
-  TimePoint mLastTick{};
+  TimePoint mLastEvent{};
   TimePoint mNextProbe{};
   TimePoint mNextGossip{};
   TimePoint mNextDeadProbe{};
   TimePoint mNextRecheck{};
   TimePoint mNextForget{};
   TimePoint mNextSync{};
-  TimePoint mDiffersSince{};
-  TimePoint mLastMatch{};
   TimePoint mLastChange{};
-  bool mDiffers = false;
+  uint32_t mMismatches = 0;
   double mPageBytes = kPageBytesBurst;
   TimePoint mPageBytesAt{};
 };
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -9,6 +9,9 @@
 
 constexpr Duration kUsageInterval = milliseconds(200); // Section 8.2.
 constexpr Duration kExpiryInterval = seconds(1);
+// The quarantine lasts minutes; a caller learns that an early return is of no
+// use, but also of an end by an operator within a minute.
+constexpr Duration kQuarantineRetry = minutes(1);
 
 } // namespace
 
@@ -70,12 +73,12 @@
 // -- Checks -----------------------------------------------------------------
 
 Reason
-TargetLogic::CheckUpstream(const std::string& aService) const
+TargetLogic::CheckUpstream(TimePoint aNow, const std::string& aService) const
 {
   if (mDraining) {
     return Reason::Leaving;
   }
-  switch (mUpstream.State()) {
+  switch (mUpstream.State(aNow)) {
     case UpstreamState::Unknown:
     case UpstreamState::Down:
       return Reason::UpstreamDown;
@@ -121,7 +124,7 @@
 TargetLogic::Verdict
 TargetLogic::CheckCall(TimePoint aNow, const CallMessage& aCall)
 {
-  if (const Reason reason = CheckUpstream(aCall.mService);
+  if (const Reason reason = CheckUpstream(aNow, aCall.mService);
       reason != Reason::None) {
     return { .mReason = reason };
   }
@@ -133,7 +136,8 @@
   }
   switch (mCrashes->StateOf(aNow, aCall.mFingerprint)) {
     case FingerprintState::Quarantined:
-      return { .mReason = Reason::Quarantined };
+      return { .mReason = Reason::Quarantined,
+               .mRetryAfter = kQuarantineRetry };
     case FingerprintState::Suspect:
       if (!IsDesignated(aCall.mFingerprint)) {
         return { .mReason = Reason::SuspectWaiting, .mSuspect = true };
@@ -347,7 +351,7 @@
                           Effects& aEffects)
 {
   KeyIssued issued{ .mCall = aRequest.mCall,
-                    .mReason = CheckUpstream(aRequest.mService) };
+                    .mReason = CheckUpstream(aNow, aRequest.mService) };
   if (issued.mReason == Reason::None) {
     issued.mKey = mKeys.Issue(aNow, aRequest);
     aEffects.Count("keys_issued");
@@ -417,10 +421,11 @@
   }
   if (mUpstream.Tick(aNow)) {
     Crashed(aNow, aEffects);
-    PublishUpstream("not announced", aEffects);
+    PublishUpstream(aNow, "not announced", aEffects);
     FlushQueue(aNow, Reason::UpstreamDown, aEffects);
   }
   StartNext(aNow, aEffects);
+  NoteRegime(aNow, aEffects);
   if (aNow >= mNextUsage) {
     mNextUsage = aNow + kUsageInterval;
     ReportUsage(aNow, aEffects);
@@ -443,11 +448,28 @@
 }
 
 void
-TargetLogic::DrainStarted(Effects& aEffects)
+TargetLogic::NoteRegime(TimePoint aNow, Effects& aEffects)
+{
+  if (!mLimiter || mLimiter->Regime(aNow) == mRegime) {
+    return;
+  }
+  const LimitRegime before = std::exchange(mRegime, mLimiter->Regime(aNow));
+  // Probes upwards are part of the ordinary course and would fill the trail.
+  if (before == LimitRegime::WarmUp || mRegime == LimitRegime::WarmUp ||
+      mRegime == LimitRegime::ProbeDown) {
+    aEffects.mActions.emplace_back(
+      AuditEntry{ .mKind = AuditKind::LimitRegime,
+                  .mSubject = std::string(ToName(mRegime)),
+                  .mCause = fmt::format("limit={}", mLimiter->Limit(aNow)) });
+  }
+}
+
+void
+TargetLogic::DrainStarted(TimePoint aNow, Effects& aEffects)
 {
   mDraining = true;
   mKeys.SetDraining();
-  PublishUpstream("drain", aEffects);
+  PublishUpstream(aNow, "drain", aEffects);
 }
 
 bool
@@ -462,8 +484,8 @@
   return { .mInFlight = uint32_t(mRunning.size()),
            .mWaiting = uint32_t(mQueue->Size()),
            .mLimit = mLimiter ? mLimiter->Limit(aNow) : 0,
-           .mLeaving =
-             CheckUpstream(mUpstream.Last().mService) == Reason::Leaving };
+           .mLeaving = CheckUpstream(aNow, mUpstream.Last().mService) ==
+                       Reason::Leaving };
 }
 
 Execution*
