Keep the fine clock of schedules until no request is sent any more

NodeLogic requires a tick every 10 to 20 ms, so the nodes were not at fault. The margin is unchanged.

--- a/libs/node/tests/Schedule.cpp
+++ b/libs/node/tests/Schedule.cpp
@@ -360,10 +360,7 @@
     mSim.Hosts()[i].mSlowness = 1;
   }
   // Longest pause, deadline and hand-over of a closing record.
-  mSim.RunFor(seconds(3));
-  // Nothing is sent from here on, so that a coarser clock loses nothing.
-  mSim.mTick = milliseconds(100);
-  mSim.RunFor(seconds(8));
+  mSim.RunFor(seconds(11));
   for (size_t i = 0; i < mSim.Hosts().size(); ++i) {
     Sim::Host& host = mSim.Hosts()[i];
     if (host.mAlive && host.mDraining) {
@@ -495,6 +492,8 @@
 {
   mSim.Upstreams().mPoison.clear();
   mSim.mOnAnswer = nullptr;
+  // Nothing is sent from here on, so that a coarser clock loses nothing.
+  mSim.mTick = milliseconds(100);
   // The longest backoff of a target is 10 s.
   mSim.RunFor(seconds(10));
   mSim.Settle();
