--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -246,16 +246,16 @@
 double
 Router::Score(TimePoint aNow, const Target& aTarget)
 {
-  uint32_t limit = aTarget.mMember.mSlots;
-  double others = 0;
-  if (aTarget.mHasLoad) {
-    others =
-      aTarget.mOthers * HalfLifeFactor(aNow - aTarget.mLoadTime, kLoadHalfLife);
-    if (aTarget.mLoad.mLimit > 0) {
-      limit = aTarget.mLoad.mLimit;
-    }
-  }
-  double score = (aTarget.mInFlight + others) / std::max<uint32_t>(1, limit);
+  const uint32_t limit = std::max<uint32_t>(
+    1,
+    aTarget.mHasLoad && aTarget.mLoad.mLimit > 0 ? aTarget.mLoad.mLimit
+                                                 : aTarget.mMember.mSlots);
+  // Whole calls up to a bound, so that one absurd report fades within seconds.
+  constexpr double kMaxOthers = 4;
+  const double others =
+    std::round(std::min<double>(aTarget.mOthers, kMaxOthers * limit) *
+               HalfLifeFactor(aNow - aTarget.mLoadTime, kLoadHalfLife));
+  double score = (aTarget.mInFlight + others) / limit;
   const double fade =
     HalfLifeFactor(aNow - aTarget.mRepliesTime, kRefusalHalfLife);
   if (aTarget.mReplies > 0) {
