Tell old replies from new ones in the entry throttle

Cause: after an overload, replies to long calls still carried the pressure that they had met when they were sent, and kept the throttle closed. Conclusion: the signal may name when the call was sent. Callers that leave it zero get the former behaviour.

--- a/libs/overload/include/overload/EntryThrottle.h
+++ b/libs/overload/include/overload/EntryThrottle.h
@@ -27,6 +27,7 @@
 {
   bool mRefused = false; ///< Not run because of overload, at any hop.
   double mPressure = 0;  ///< As in ReplyMessage.
+  TimePoint mSent{};     ///< When the call was admitted; zero when not known.
 };
 
 /** Refuses calls at the entry node while a service below is overloaded; see
@@ -63,6 +64,7 @@
     // cut; their refusals say nothing of the rate since.
     uint32_t mOutstanding = 0;
     uint32_t mStale = 0;
+    TimePoint mCut;
     uint32_t mUnproven = 0; ///< Calls sent before the last growth.
     TimePoint mLastReply;
     // The step under way.
@@ -86,7 +88,8 @@
   {
     double mPressure = 0;
     TimePoint mTime;
-    bool mIsCalm = false; ///< The latest replies met no pressure.
+    TimePoint mNewestSent; ///< Latest call that replied.
+    bool mIsCalm = false;  ///< The latest replies met no pressure.
     TimePoint mCalmSince;
     TimePoint mBegin;
     double mSum = 0;
--- a/libs/overload/src/EntryThrottle.cpp
+++ b/libs/overload/src/EntryThrottle.cpp
@@ -74,11 +74,19 @@
     return;
   }
   View& view = mViews[{ aKey.mService, aKey.mRequestClass, aKey.mImportance }];
-  view.mSum += aSignal.mRefused ? 1 : std::clamp(aSignal.mPressure, 0.0, 1.0);
-  ++view.mCount;
-  view.mTime = aNow;
+  // The reply to a long call tells of a queue that later calls may have found
+  // empty.
+  const bool hasTime = aSignal.mSent != TimePoint{};
+  const bool isOld = hasTime && aSignal.mSent + kMaxViewStep < view.mNewestSent;
+  view.mNewestSent = std::max(view.mNewestSent, aSignal.mSent);
+  if (!isOld) {
+    view.mSum += aSignal.mRefused ? 1 : std::clamp(aSignal.mPressure, 0.0, 1.0);
+    ++view.mCount;
+    view.mTime = aNow;
+  }
   const Duration age = aNow - view.mBegin;
-  if ((age >= kViewStep && view.mCount >= kMinReplies) || age >= kMaxViewStep) {
+  if ((age >= kViewStep && view.mCount >= kMinReplies) ||
+      (age >= kMaxViewStep && view.mCount > 0)) {
     const double mean = view.mSum / view.mCount;
     view.mPressure = (view.mPressure + mean) / 2;
     if (mean >= kEmpty) {
@@ -97,8 +105,11 @@
   stream.mOutstanding -= stream.mOutstanding > 0 ? 1 : 0;
   stream.mUnproven -= stream.mUnproven > 0 ? 1 : 0;
   stream.mGood += aSignal.mRefused ? 0 : 1;
-  if (stream.mStale > 0) {
-    --stream.mStale;
+  const bool isStale =
+    hasTime ? aSignal.mSent < stream.mCut : stream.mStale > 0;
+  stream.mStale -= stream.mStale > 0 ? 1 : 0;
+  if (isStale) {
+    // Counts as goodput only.
   } else if (aSignal.mRefused) {
     ++stream.mRefused;
   } else {
@@ -159,6 +170,7 @@
     aStream.mRate = aStream.mBase;
     aStream.mCalm = 0;
     aStream.mStale = aStream.mOutstanding;
+    aStream.mCut = aNow;
     aStream.mBase = std::max(aStream.mBase, kMinRate);
     aStream.mRate = std::min(aStream.mRate, aStream.mBase);
   }
