Open the throttle of a slow stream after a pause

A stream that was refused until an overload ended, and then called only every half second, was judged at its next call by replies from before the pause.

--- a/libs/overload/src/EntryThrottle.cpp
+++ b/libs/overload/src/EntryThrottle.cpp
@@ -14,6 +14,7 @@
 // but no longer than a second.
 constexpr uint32_t kMinReplies = 4;
 constexpr Duration kMaxInterval = seconds(1);
+constexpr Duration kStale = 2 * kMaxInterval;
 
 // A burst of refusals ends the interval early.
 constexpr uint32_t kBurst = 8;
@@ -114,7 +115,7 @@
   aStream.mDemand += gain * (aStream.mArrived / length - aStream.mDemand);
   aStream.mGoodput += gain * (aStream.mAccepted / length - aStream.mGoodput);
   // Refusals before a long pause of the stream say nothing of the load now.
-  if (aStream.mRefused > 0 && aNow - aStream.mBegin < 2 * kMaxInterval) {
+  if (aStream.mRefused > 0 && aNow - aStream.mBegin < kStale) {
     Cut(aNow, aStream, length);
   } else if (aStream.mThrottled) {
     Grow(aNow, aKey, aStream);
@@ -158,7 +159,10 @@
 void
 EntryThrottle::Grow(TimePoint aNow, const ThrottleKey& aKey, Stream& aStream)
 {
-  const uint32_t replies = aStream.mAccepted;
+  // The replies of an interval that a pause has stretched are as old as the
+  // pause is long.
+  const bool isStale = aNow - aStream.mBegin >= kStale;
+  const uint32_t replies = isStale ? 0 : aStream.mAccepted;
   const View& view =
     mViews[{ aKey.mService, aKey.mRequestClass, aKey.mImportance }];
   double pressure = 1;
