Answer child calls that end with their execution

A child call that was cancelled because its execution had ended got no answer: the upstream kept its slot until its own timeout, while the node counted the slot as free. External callers that have gone still get none.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,6 +20,14 @@
 INNER_KEY = "bench-inner-key-0123456789"
 
 
+def _interrupt(*_):
+    raise KeyboardInterrupt
+
+
+# A terminated run still ends the processes that it has started.
+signal.signal(signal.SIGTERM, _interrupt)
+
+
 class FleetError(RuntimeError):
     """The fleet could not be brought up."""
 
--- a/libs/node/src/EntryAttempts.cpp
+++ b/libs/node/src/EntryAttempts.cpp
@@ -339,7 +339,9 @@
   const EntryCall call = mCalls.Remove(aCall.mId);
   aAnswer.mCaller = call.mCaller;
   aAnswer.mRequest = call.mRequest;
-  if (aAnswer.mReason != Reason::CallerGone) {
+  // A cancelled child call still has an upstream that waits for it; without
+  // the answer its slot would stay taken after the execution has ended.
+  if (call.mIsChild || aAnswer.mReason != Reason::CallerGone) {
     aEffects.mActions.emplace_back(std::move(aAnswer));
   }
   if (call.mIsChild) {
