--- a/libs/node/tests/NodeLogicTest.cpp
+++ b/libs/node/tests/NodeLogicTest.cpp
@@ -47,6 +47,23 @@
   CHECK(steps.back().mEvent == "answer");
 }
 
+// Guards against an upstream that waits for the answer to a child call for as
+// long as its own timeout, with a slot taken, after the execution has ended.
+TEST_CASE("child calls of an ended execution are answered")
+{
+  auto options = TwoTiers();
+  options.mServices[1].mRun = seconds(5);
+  Sim sim(options);
+  sim.Settle();
+  const size_t call = sim.Call(2, 1, "front", "read", { "r1" }, "");
+  sim.RunFor(milliseconds(200));
+  REQUIRE(sim.OpenChildCalls() == 2);
+  sim.HangUp(call);
+  sim.RunFor(milliseconds(200));
+  CHECK(sim.OpenChildCalls() == 0);
+  CHECK(sim.Violations().empty());
+}
+
 // Guards against a non-idempotent request that runs without an issued key, or
 // twice with one.
 TEST_CASE("a non-idempotent request runs once, with an issued key")
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -165,6 +165,8 @@
               Duration aTimeout = {},
               const std::string& aCaller = "web");
   void HangUp(size_t aCall);
+  /** @return child calls for whose answer an upstream still waits. */
+  [[nodiscard]] size_t OpenChildCalls() const { return mChildWaits.size(); }
   std::function<void(size_t)> mOnAnswer;
 
   // -- Observation --
