Resolve lint findings and keep peers in a hash table

Names, explicit widening, and header names compared as ASCII instead of through the locale. A node that cannot be reached by an operator command is named with a readable cause.

--- a/app/NodeReader.cpp
+++ b/app/NodeReader.cpp
@@ -16,10 +16,12 @@
   client.set_read_timeout(5);
   const auto answer = client.Get(aPath);
   if (!answer) {
+    const bool connected = answer.error() != httplib::Error::Connection;
     fmt::print(stderr,
-               "amaranthgap: node {} does not answer: {}\n",
+               "amaranthgap: node {}: {}\n",
                aAddress,
-               httplib::to_string(answer.error()));
+               connected ? "connection lost before the answer was complete"
+                         : "cannot connect");
     return std::nullopt;
   }
   auto body = nlohmann::json::parse(answer->body, nullptr, false);
--- a/libs/server/include/server/PeerTransport.h
+++ b/libs/server/include/server/PeerTransport.h
@@ -5,12 +5,12 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include <nng/nng.h>
@@ -126,7 +126,22 @@
     TimePoint mLastUse{};
     TimePoint mConnectStart{};
   };
-  using PeerKey = std::pair<NodeRef, std::string>;
+  struct PeerKey
+  {
+    NodeRef mNode;
+    std::string mAddress;
+
+    bool operator==(const PeerKey&) const = default;
+  };
+  struct PeerKeyHash
+  {
+    size_t operator()(const PeerKey& aKey) const noexcept
+    {
+      return std::hash<NodeId>{}(aKey.mNode.mId) ^
+             std::hash<Incarnation>{}(aKey.mNode.mIncarnation) ^
+             std::hash<std::string>{}(aKey.mAddress);
+    }
+  };
 
   /** One receive operation of the pull socket. */
   struct Receiver
@@ -175,7 +190,7 @@
 
   std::mutex mMutex; ///< Guards the members below.
   NodeRef mSelf;
-  std::map<PeerKey, std::unique_ptr<Peer>> mPeers;
+  std::unordered_map<PeerKey, std::unique_ptr<Peer>, PeerKeyHash> mPeers;
 };
 
 } // namespace amaranthgap
--- a/libs/server/src/HttpConnection.cpp
+++ b/libs/server/src/HttpConnection.cpp
@@ -60,7 +60,7 @@
 HttpConnection::ReadResult
 HttpConnection::ReadAvailable(size_t aMaxBuffer)
 {
-  std::array<char, 16 * 1024> chunk; // NOLINT: filled by recv
+  std::array<char, size_t(16) * 1024> chunk; // NOLINT: filled by recv
   while (mBuffer.size() < aMaxBuffer) {
     const ssize_t n = recv(mSocket, chunk.data(), chunk.size(), MSG_DONTWAIT);
     if (n > 0) {
--- a/libs/server/src/HttpFraming.cpp
+++ b/libs/server/src/HttpFraming.cpp
@@ -16,6 +16,13 @@
 // A chunk line holds a length and, rarely, an extension.
 constexpr size_t kMaxChunkLine = 256;
 
+// Header names are ASCII, whatever the locale.
+constexpr char
+ToLower(char aChar)
+{
+  return aChar >= 'A' && aChar <= 'Z' ? char(aChar - 'A' + 'a') : aChar;
+}
+
 bool
 IsTokenChar(char aChar)
 {
@@ -75,14 +82,12 @@
 bool
 EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](char a, char b) {
-                      return std::tolower(static_cast<unsigned char>(a)) ==
-                             std::tolower(static_cast<unsigned char>(b));
-                    });
+  return std::equal(
+    aLeft.begin(),
+    aLeft.end(),
+    aRight.begin(),
+    aRight.end(),
+    [](char aOne, char aOther) { return ToLower(aOne) == ToLower(aOther); });
 }
 
 std::string_view
@@ -238,8 +243,9 @@
   const auto method = aLine.substr(0, first);
   const auto target = aLine.substr(first + 1, last - first - 1);
   const auto version = aLine.substr(last + 1);
-  const bool plain = std::all_of(
-    target.begin(), target.end(), [](char c) { return c > ' ' && c < 0x7f; });
+  const bool plain = std::all_of(target.begin(), target.end(), [](char aChar) {
+    return aChar > ' ' && aChar < 0x7f;
+  });
   if (!IsToken(method) || !target.starts_with('/') || !plain) {
     return 400;
   }
--- a/libs/server/src/UpstreamConnection.cpp
+++ b/libs/server/src/UpstreamConnection.cpp
@@ -144,7 +144,7 @@
   int mSocket;
   TimePoint mDeadline;
   std::string mRequest;
-  std::array<char, 16 * 1024> mBuffer{};
+  std::array<char, size_t(16) * 1024> mBuffer{};
   size_t mTaken = 0;
   size_t mFilled = 0;
 };
--- a/libs/wire/include/wire/ReplayWindow.h
+++ b/libs/wire/include/wire/ReplayWindow.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <unordered_map>
 
 #include "base/Ids.h"
 #include "base/Time.h"
@@ -46,7 +47,7 @@
   };
 
   std::mutex mMutex;
-  std::map<NodeId, std::map<Incarnation, Window>> mSenders;
+  std::unordered_map<NodeId, std::map<uint64_t, Window>> mSenders;
 };
 
 } // namespace amaranthgap
--- a/libs/wire/src/ReplayWindow.cpp
+++ b/libs/wire/src/ReplayWindow.cpp
@@ -7,15 +7,16 @@
 {
   const std::scoped_lock lock(mMutex);
   auto& incarnations = mSenders[aFrom.mId];
-  auto it = incarnations.find(aFrom.mIncarnation);
+  const uint64_t incarnation = aFrom.mIncarnation.mValue;
+  auto it = incarnations.find(incarnation);
   if (it == incarnations.end()) {
     if (incarnations.size() == kIncarnations) {
-      if (aFrom.mIncarnation < incarnations.begin()->first) {
+      if (incarnation < incarnations.begin()->first) {
         return false;
       }
       incarnations.erase(incarnations.begin());
     }
-    it = incarnations.emplace(aFrom.mIncarnation, Window{}).first;
+    it = incarnations.emplace(incarnation, Window{}).first;
   }
   Window& window = it->second;
   window.mLastSeen = aNow;
