Take a context from the local port only

An external caller could name the execution of another request in its headers. The end of the transport leaves sending to the tick thread, which alone drives it. Test files follow the lint rules.

--- a/libs/server/include/server/PeerTransport.h
+++ b/libs/server/include/server/PeerTransport.h
@@ -78,7 +78,8 @@
   PeerTransport& operator=(const PeerTransport&) = delete;
 
   Status Start();
-  /** Waits up to aFlush for messages that are queued, and closes all. */
+  /** Waits up to aFlush for messages that are queued, which Tick goes on to
+   * send, and closes all. */
   void Stop(Duration aFlush);
 
   /** Replaces the own identity; the incarnation is final only after joining. */
@@ -92,7 +93,8 @@
    */
   void Send(TimePoint aDecided, const SendMessage& aMessage);
 
-  /** Closes idle connections and sends what waits; every 10 to 100 ms. */
+  /** Closes idle connections and sends what waits; every 10 to 100 ms, by one
+   * thread. */
   void Tick(TimePoint aNow);
 
   [[nodiscard]] const Counters& GetCounters() const { return mCounters; }
--- a/libs/server/src/CallerInterface.cpp
+++ b/libs/server/src/CallerInterface.cpp
@@ -141,7 +141,8 @@
                    .mService = std::string(rest.substr(0, end)),
                    .mRequestClass = header("Amaranthgap-Class"),
                    .mKey = header("Idempotency-Key"),
-                   .mContext = header("Amaranthgap-Context"),
+                   .mContext =
+                     aFromUpstream ? header("Amaranthgap-Context") : "",
                    .mFromUpstream = aFromUpstream };
   const std::string timeout = header("Amaranthgap-Timeout-Ms");
   if (call.mService.empty() || call.mRequestClass.empty() ||
--- a/libs/server/src/PeerTransport.cpp
+++ b/libs/server/src/PeerTransport.cpp
@@ -171,7 +171,6 @@
   };
   while (waits() && std::chrono::steady_clock::now() < deadline) {
     std::this_thread::sleep_for(milliseconds(5));
-    Tick(std::chrono::steady_clock::now());
   }
   if (aFlush > Duration::zero()) {
     // nng does not tell when its buffers have reached the kernel.
--- a/libs/server/tests/CallerServerTest.cpp
+++ b/libs/server/tests/CallerServerTest.cpp
@@ -59,7 +59,7 @@
                  mCalls.push_back(std::move(aCall));
                },
              .mKeyRequested =
-               [this](CallerKeyRequest aRequest) {
+               [this](const CallerKeyRequest& aRequest) {
                  mServer.Answer({ .mCaller = aRequest.mCaller,
                                   .mIssuedKey = aRequest.mService + "/" +
                                                 aRequest.mRequestClass });
@@ -89,6 +89,7 @@
                           "X-Request-Id: r-1\r\n"
                           "traceparent: 00-1-2-01\r\n"
                           "Idempotency-Key: k\r\n"
+                          "Amaranthgap-Context: forged\r\n"
                           "Connection: keep-alive, X-Hop\r\n"
                           "X-Hop: 1\r\n"
                           "X-Kept: %0d%0a\r\n"
@@ -120,6 +121,7 @@
   CHECK(call.mRequest.mValue == "r-1");
   CHECK(call.mKey == "k");
   CHECK_FALSE(call.mFromUpstream);
+  CHECK(call.mContext.empty());
   CHECK(call.mHttp.mMethod == "POST");
   CHECK(call.mHttp.mPath == "/a/b?c=%41");
   CHECK(call.mHttp.mBody == "abc");
@@ -224,6 +226,7 @@
       "GET /call/s/{} HTTP/1.1\r\nAmaranthgap-Class: c\r\n\r\n", n));
   }
   std::vector<CallerCall> calls;
+  calls.reserve(100);
   for (int n = 0; n < 100; ++n) {
     calls.push_back(ports.WaitForCall());
   }
@@ -312,12 +315,14 @@
   CHECK(ports.mAnnouncement->mSlots == 4);
   CHECK(ports.mAnnouncement->mWarmUp == milliseconds(50));
   CHECK(ports.mAnnouncement->mLeaving);
-  for (const std::string bad : { "x",
-                                 "[]",
-                                 R"({"service":"s"})",
-                                 R"({"service":"s","address":"a","slots":-1})",
-                                 R"({"service":"s","address":"a","slots":1,)"
-                                 R"("more":1})" }) {
+  const std::string extra =
+    R"({"service":"s","address":"a","slots":1,"more":1})";
+  const std::string negative = R"({"service":"s","address":"a","slots":-1})";
+  for (const std::string& bad : { std::string("x"),
+                                  std::string("[]"),
+                                  std::string(R"({"service":"s"})"),
+                                  negative,
+                                  extra }) {
     INFO(bad);
     CHECK(announce(bad).starts_with("HTTP/1.1 400 "));
   }
--- a/libs/server/tests/HttpListenerTest.cpp
+++ b/libs/server/tests/HttpListenerTest.cpp
@@ -33,7 +33,7 @@
 }
 
 HttpResponse
-Echo(HttpRequest aRequest, HttpConnection&)
+Echo(const HttpRequest& aRequest, HttpConnection&)
 {
   return { .mStatus = 200,
            .mBody =
@@ -44,16 +44,16 @@
 class Fixture
 {
 public:
-  using Handler = std::function<HttpResponse(HttpRequest, HttpConnection&)>;
+  using Handler =
+    std::function<HttpResponse(const HttpRequest&, HttpConnection&)>;
 
   explicit Fixture(HttpListener::Options aOptions, Handler aHandler = Echo)
     : mListener(
         std::move(aOptions),
         [this, handler = std::move(aHandler)](
-          HttpRequest aRequest,
+          const HttpRequest& aRequest,
           const HttpListener::ConnectionPtr& aConnection) {
-          mListener.Respond(aConnection,
-                            handler(std::move(aRequest), *aConnection));
+          mListener.Respond(aConnection, handler(aRequest, *aConnection));
         },
         Refuse)
   {
@@ -118,6 +118,7 @@
 {
   Fixture fixture(TestOptions());
   std::vector<std::thread> threads;
+  threads.reserve(8);
   std::atomic<int> wrong = 0;
   for (int caller = 0; caller < 8; ++caller) {
     threads.emplace_back([&, caller] {
@@ -241,12 +242,13 @@
 {
   std::atomic<bool> gone = false;
   std::atomic<bool> started = false;
-  Fixture fixture(TestOptions(), [&](HttpRequest, HttpConnection& aConnection) {
-    aConnection.SetOnGone([&] { gone = true; });
-    started = true;
-    Eventually([&] { return gone.load(); });
-    return HttpResponse{ .mStatus = 200 };
-  });
+  Fixture fixture(TestOptions(),
+                  [&](const HttpRequest&, HttpConnection& aConnection) {
+                    aConnection.SetOnGone([&] { gone = true; });
+                    started = true;
+                    Eventually([&] { return gone.load(); });
+                    return HttpResponse{ .mStatus = 200 };
+                  });
   TestSocket socket(fixture.Port());
   socket.Send(Get("/"));
   REQUIRE(Eventually([&] { return started.load(); }));
@@ -303,14 +305,15 @@
 {
   std::atomic<bool> release = false;
   std::atomic<int> started = 0;
-  Fixture fixture(TestOptions(), [&](HttpRequest, HttpConnection& aConnection) {
-    std::atomic<bool> gone = false;
-    aConnection.SetOnGone([&] { gone = true; });
-    ++started;
-    Eventually([&] { return release || gone; });
-    aConnection.SetOnGone({});
-    return HttpResponse{ .mStatus = 200, .mBody = "done" };
-  });
+  Fixture fixture(TestOptions(),
+                  [&](const HttpRequest&, HttpConnection& aConnection) {
+                    std::atomic<bool> gone = false;
+                    aConnection.SetOnGone([&] { gone = true; });
+                    ++started;
+                    Eventually([&] { return release || gone; });
+                    aConnection.SetOnGone({});
+                    return HttpResponse{ .mStatus = 200, .mBody = "done" };
+                  });
   TestSocket idle(fixture.Port());
   TestSocket busy(fixture.Port());
   busy.Send(Get("/"));
--- a/libs/server/tests/TestSocket.h
+++ b/libs/server/tests/TestSocket.h
@@ -59,7 +59,7 @@
           length = std::stoul(mBuffer.substr(at + 16));
         }
         if (mBuffer.size() >= head + 4 + length) {
-          const std::string answer = mBuffer.substr(0, head + 4 + length);
+          std::string answer = mBuffer.substr(0, head + 4 + length);
           mBuffer.erase(0, answer.size());
           return answer;
         }
