--- a/libs/server/src/CallerServer.cpp
+++ b/libs/server/src/CallerServer.cpp
@@ -12,7 +12,9 @@
 constexpr std::string_view kAnnouncePath = "/v1/announce";
 // Threads that read, decide and write; none of them waits for an answer.
 constexpr uint32_t kWorkers = 32;
-constexpr size_t kMaxBody = size_t(512) * 1024;
+// The highest limit that a manifest may set; the decisions apply the one in
+// force.
+constexpr size_t kMaxBody = size_t(896) * 1024;
 
 std::string_view
 PathOf(const HttpRequest& aRequest)
--- a/libs/server/tests/PeerTransportTest.cpp
+++ b/libs/server/tests/PeerTransportTest.cpp
@@ -89,8 +89,8 @@
     return mTransport.GetCounters().mRejected[size_t(aCause)];
   }
 
-  const NodeRef mSelf;
-  const std::string mAddress;
+  NodeRef mSelf;
+  std::string mAddress;
   std::mutex mMutex;
   std::vector<Envelope> mArrived;
   std::vector<bool> mLost; ///< Values of aNeverSent.
@@ -283,7 +283,8 @@
       std::string frame(6, '\0');
       frame += char(junk.size() >> 8);
       frame += char(junk.size());
-      socket.Send(hello + frame + junk);
+      frame.insert(0, hello).append(junk);
+      socket.Send(frame);
     } else {
       socket.Send(junk);
     }
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -48,8 +48,10 @@
            .mIdempotent = false,
            .mKey = "key",
            .mFingerprint = 0xffffffffffffffff,
-           .mHttp = {
-             "POST", "/x?y=%41", { { "H", "%0d%0a" } }, "\0body\xff" } };
+           .mHttp = { "POST",
+                      "/x?y=%41",
+                      { { "H", "%0d%0a" } },
+                      std::string("\0body\xff", 6) } };
 }
 
 std::vector<Message>
