--- a/libs/server/include/server/PeerTransport.h
+++ b/libs/server/include/server/PeerTransport.h
@@ -5,12 +5,12 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include <nng/nng.h>
@@ -78,7 +78,8 @@
   PeerTransport& operator=(const PeerTransport&) = delete;
 
   Status Start();
-  /** Waits up to aFlush for messages that are queued, and closes all. */
+  /** Waits up to aFlush for messages that are queued, which Tick goes on to
+   * send, and closes all. */
   void Stop(Duration aFlush);
 
   /** Replaces the own identity; the incarnation is final only after joining. */
@@ -92,7 +93,8 @@
    */
   void Send(TimePoint aDecided, const SendMessage& aMessage);
 
-  /** Closes idle connections and sends what waits; every 10 to 100 ms. */
+  /** Closes idle connections and sends what waits; every 10 to 100 ms, by one
+   * thread. */
   void Tick(TimePoint aNow);
 
   [[nodiscard]] const Counters& GetCounters() const { return mCounters; }
@@ -126,7 +128,22 @@
     TimePoint mLastUse{};
     TimePoint mConnectStart{};
   };
-  using PeerKey = std::pair<NodeRef, std::string>;
+  struct PeerKey
+  {
+    NodeRef mNode;
+    std::string mAddress;
+
+    bool operator==(const PeerKey&) const = default;
+  };
+  struct PeerKeyHash
+  {
+    size_t operator()(const PeerKey& aKey) const noexcept
+    {
+      return std::hash<NodeId>{}(aKey.mNode.mId) ^
+             std::hash<Incarnation>{}(aKey.mNode.mIncarnation) ^
+             std::hash<std::string>{}(aKey.mAddress);
+    }
+  };
 
   /** One receive operation of the pull socket. */
   struct Receiver
@@ -175,7 +192,7 @@
 
   std::mutex mMutex; ///< Guards the members below.
   NodeRef mSelf;
-  std::map<PeerKey, std::unique_ptr<Peer>> mPeers;
+  std::unordered_map<PeerKey, std::unique_ptr<Peer>, PeerKeyHash> mPeers;
 };
 
 } // namespace amaranthgap
