Keep joining nodes from crowding the store and from forming islands

The fleet driver can start a fleet whose members know each other, so that 4,100 nodes can be measured.

--- a/bench/ControlSlopes.cpp
+++ b/bench/ControlSlopes.cpp
@@ -119,14 +119,25 @@
     return 1;
   }
   const auto start = Sum(fleet);
-  fleet.StartAll();
+  const bool atOnce = aNodes <= 160;
+  if (atOnce) {
+    fleet.StartAll();
+  } else {
+    fleet.StartFormed();
+  }
   const auto formed = fleet.RunUntil(
     seconds(120), [&] { return fleet.IsAgreed(); }, milliseconds(500));
   if (!formed) {
     std::printf("%6u did not form\n", aNodes);
     return 1;
   }
-  Print("start of all", aNodes, start, Sum(fleet), 1, "in all", formed);
+  Print(atOnce ? "start of all" : "start, members known",
+        aNodes,
+        start,
+        Sum(fleet),
+        1,
+        "in all",
+        formed);
   std::printf("%6u  memory per node %.0f KB\n",
               aNodes,
               double(ResidentBytes() - resident) / 1024 / aNodes);
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -100,9 +100,9 @@
   }
 
 private:
-  /** Page budget at the start: two whole lists of 4,100 members, for nodes
+  /** Page budget at the start: four whole lists of 4,100 members, for nodes
    * that join together. */
-  static constexpr double kPageBytesBurst = 800'000;
+  static constexpr double kPageBytesBurst = 1'600'000;
 
   struct Probe
   {
--- a/libs/node/src/JoinLogic.cpp
+++ b/libs/node/src/JoinLogic.cpp
@@ -16,11 +16,24 @@
  * this time without an answer from a member there is none. */
 constexpr Duration kJoiningOnly = seconds(3);
 
+/** A store that is well serves the first reads of 4,100 nodes started at the
+ * same moment at 1,400 reads a second. */
+constexpr Duration kFirstReadSpread = seconds(3);
+
+/** Pause before the next read while listed seeds are being contacted. */
+constexpr Duration kSeedsPause = seconds(4);
+
 /** A node without a store and without an answer from its peers says on the
  * audit trail after this time why it is not ready. */
 constexpr Duration kReport = seconds(2);
 
-constexpr Duration kRefreshPeriod = seconds(30);
+/** Watchers read the seeds this often, the two keys in turn: about one read a
+ * second by 10 watchers. */
+constexpr Duration kRefreshPeriod = seconds(10);
+
+/** Seeds that did not answer a joining node are tried again for this time;
+ * regions lose contact for up to an hour. */
+constexpr Duration kUnreachedTime = minutes(90);
 
 /** A node without other members looks for some this often. */
 constexpr Duration kAlonePeriod = seconds(4);
@@ -44,7 +57,7 @@
 JoinLogic::RefreshPause(const Membership& aMembership) const
 {
   if (!mOver) {
-    return milliseconds(500);
+    return Candidates().empty() ? Duration(milliseconds(300)) : kSeedsPause;
   }
   return aMembership.Table().Live().empty() ? kAlonePeriod : kRefreshPeriod;
 }
@@ -68,13 +81,16 @@
     mStarted = true;
     mStart = aNow;
     mNextContact = aNow;
-    // Spreads the reads of a fleet that starts at once over half a second.
-    mNextRead = aNow + FromSeconds(mRng.Uniform(0, 0.5));
+    mNextRead =
+      aNow + FromSeconds(ToSeconds(kFirstReadSpread) * mRng.Uniform());
   }
   for (const auto& address : mUnknown) {
     aMembership.JoinVia(aNow, address, aOut);
   }
   mUnknown.clear();
+  if (!mUnreached.empty() && mOver && aNow >= mNextUnreached) {
+    RetryUnreached(aNow, aMembership, aOut);
+  }
   const bool alone = aMembership.Table().Live().empty();
   if ((!mOver || alone) && aNow >= mNextContact) {
     Contact(aNow, aMembership, aOut);
@@ -85,7 +101,7 @@
   if (mOptions.mHasStore && aNow >= mNextRead && aStore.MayCall(aNow) &&
       !aStore.IsPending(StoreCalls::Purpose::SeedsRead) &&
       !aStore.IsPending(StoreCalls::Purpose::SeedsWrite) &&
-      (!mOver || alone || aWatcher || !Current().mRead)) {
+      (!mOver || alone || aWatcher)) {
     mNextRead = aNow + kRefreshPeriod;
     aStore.Start(aNow,
                  StoreCalls::Purpose::SeedsRead,
@@ -132,6 +148,24 @@
   }
 }
 
+void
+JoinLogic::RetryUnreached(TimePoint aNow,
+                          Membership& aMembership,
+                          PeerOutput& aOut)
+{
+  mNextUnreached = aNow + kAlonePeriod;
+  std::set<std::string> live;
+  for (const uint32_t index : aMembership.Table().Live()) {
+    live.insert(aMembership.Table().At(index).mUpdate.mPeerAddress);
+  }
+  std::erase_if(mUnreached, [&](const std::string& aAddress) {
+    return live.contains(aAddress) || aNow >= mUnreachedUntil;
+  });
+  if (!mUnreached.empty()) {
+    aMembership.JoinVia(aNow, mUnreached[mRng.Below(mUnreached.size())], aOut);
+  }
+}
+
 void
 JoinLogic::CheckOver(TimePoint aNow,
                      const Membership& aMembership,
@@ -140,7 +174,7 @@
 {
   if (aMembership.IsSynchronised()) {
     mOver = true;
-    mNextRead = aNow + FromSeconds(mRng.Uniform(0.2, 2));
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0.5, 3));
     return;
   }
   if (aMembership.HasContact() && mContactSince == TimePoint{}) {
@@ -155,7 +189,10 @@
                      (mOptions.mHasStore ? storeRead : !listed);
   if (onlyJoining || noOne) {
     mOver = true;
-    mNextRead = aNow + FromSeconds(mRng.Uniform(0.2, 2));
+    // The others may be cut off, not gone.
+    mUnreached = Candidates();
+    mUnreachedUntil = aNow + kUnreachedTime;
+    mNextRead = aNow + FromSeconds(mRng.Uniform(0.5, 3));
     return;
   }
   if (!mReported && aNow - mStart >= kReport && !aMembership.HasContact() &&
@@ -188,18 +225,14 @@
   if (known.mSeeds.mAddresses.empty() && !mSeenEmpty) {
     // A whole fleet may be starting: a random pause lets a few write first.
     mSeenEmpty = true;
-    mNextRead = aNow + FromSeconds(mRng.Uniform(0.1, 2));
+    mNextRead =
+      aNow + FromSeconds(ToSeconds(kFirstReadSpread) * mRng.Uniform(0.1, 1));
     return;
   }
   known.mRead = true;
   if (mOver) {
     FindUnknown(known.mSeeds, aMembership);
   }
-  if (!mOver && known.mSeeds.Contains(mOptions.mAddress) &&
-      known.mSeeds.mAddresses.size() > 1) {
-    NextScope(aNow, milliseconds(500));
-    return;
-  }
   Write(aNow, aMembership, aStore, aActions);
 }
 
@@ -223,27 +256,44 @@
                  Actions& aActions)
 {
   auto& known = Current();
-  std::set<std::string> live{ mOptions.mAddress };
-  for (const uint32_t index : aMembership.Table().Live()) {
-    live.insert(aMembership.Table().At(index).mUpdate.mPeerAddress);
-  }
   SeedList seeds = known.mSeeds;
+  const auto& self = aMembership.Self();
+  const bool stays = IsLive(self.mState) && self.mState != MemberState::Leaving;
+  const auto add = [&](const std::string& aAddress) {
+    if (seeds.mAddresses.size() < SeedList::kMaxSeeds &&
+        !seeds.Contains(aAddress)) {
+      seeds.mAddresses.push_back(aAddress);
+    }
+  };
   if (mOver) {
-    // Only now is it known which of the listed addresses still belong to
-    // members.
+    // Only members know which of the listed addresses are still in use.
+    std::vector<std::string> usable;
+    for (const uint32_t index : aMembership.Table().Live()) {
+      const auto& update = aMembership.Table().At(index).mUpdate;
+      const bool inScope =
+        mScope == Scope::Fleet || update.mDataCentre == mOptions.mDataCentre;
+      if (inScope && (update.mState == MemberState::Joined ||
+                      update.mState == MemberState::Warm)) {
+        usable.push_back(update.mPeerAddress);
+      }
+    }
+    if (stays) {
+      usable.push_back(mOptions.mAddress);
+    }
+    const std::set<std::string> listable(usable.begin(), usable.end());
     std::erase_if(seeds.mAddresses, [&](const std::string& aAddress) {
-      return !live.contains(aAddress);
+      return !listable.contains(aAddress);
     });
-  } else if (mUnanswered >= kGoneRounds && !aMembership.HasContact() &&
-             seeds.mAddresses.size() >= SeedList::kMaxSeeds) {
-    seeds.mAddresses.erase(seeds.mAddresses.begin());
-  }
-  const auto state = aMembership.Self().mState;
-  if (!seeds.Contains(mOptions.mAddress) &&
-      seeds.mAddresses.size() < SeedList::kMaxSeeds && IsLive(state) &&
-      state != MemberState::Leaving &&
-      (mOver || seeds.mAddresses.empty() || mUnanswered >= kGoneRounds)) {
-    seeds.mAddresses.push_back(mOptions.mAddress);
+    for (size_t i = 0; i < SeedList::kMaxSeeds && !usable.empty(); ++i) {
+      add(usable[mRng.Below(usable.size())]);
+    }
+  } else if (mUnanswered >= kGoneRounds && !aMembership.HasContact()) {
+    if (seeds.mAddresses.size() >= SeedList::kMaxSeeds) {
+      seeds.mAddresses.erase(seeds.mAddresses.begin());
+    }
+    add(mOptions.mAddress);
+  } else if (seeds.mAddresses.empty()) {
+    add(mOptions.mAddress);
   }
   if (seeds.mAddresses == known.mSeeds.mAddresses) {
     NextScope(aNow, RefreshPause(aMembership));
@@ -268,7 +318,7 @@
   }
   if (aAnswer.mVerdict == StoreVerdict::Conflict) {
     Current().mSeeds = SeedList::Parse(aAnswer.mCurrent.mValue);
-    NextScope(aNow, mOver ? kRefreshPeriod : Duration(milliseconds(500)));
+    NextScope(aNow, mOver ? kRefreshPeriod : Duration(milliseconds(300)));
     return;
   }
   // Unclear: the next read shows whether it took effect.
--- a/libs/node/src/JoinLogic.h
+++ b/libs/node/src/JoinLogic.h
@@ -65,6 +65,9 @@
   [[nodiscard]] Known& Current() { return mKnown[size_t(mScope)]; }
   [[nodiscard]] std::vector<std::string> Candidates() const;
   void Contact(TimePoint aNow, Membership& aMembership, PeerOutput& aOut);
+  void RetryUnreached(TimePoint aNow,
+                      Membership& aMembership,
+                      PeerOutput& aOut);
   void CheckOver(TimePoint aNow,
                  const Membership& aMembership,
                  const StoreCalls& aStore,
@@ -87,6 +90,10 @@
   Scope mScope = Scope::DataCentre;
   Known mKnown[2];
   std::vector<std::string> mUnknown; ///< To be contacted.
+  /** Seeds that were listed but did not answer when joining ended. */
+  std::vector<std::string> mUnreached;
+  TimePoint mUnreachedUntil{};
+  TimePoint mNextUnreached{};
   bool mSeenEmpty = false;
   uint32_t mUnanswered = 0; ///< Rounds of contacts without any answer.
   TimePoint mStart{};
