Bound the pause of watchers after an outage of the store

The pause between calls grew to 48 s, so that a change published right after an outage could miss its 14 s; it is now at most 12 s, and the seeds are not read while the store is down. Moves types of the fleet driver to a file of their own, and follows the lint findings.

--- a/libs/manifest/src/ManifestPublisher.cpp
+++ b/libs/manifest/src/ManifestPublisher.cpp
@@ -32,7 +32,9 @@
 /** Writes a value under a key that no one else writes another value to.
  * @return an empty text when it is there, else the reason. */
 std::string
-WriteOnce(KeyValueStore& aStore, const std::string& aKey, std::string aValue)
+WriteOnce(KeyValueStore& aStore,
+          const std::string& aKey,
+          const std::string& aValue)
 {
   const auto answer =
     aStore.Execute({ .mOperation = StoreOperation::CompareAndSwap,
--- a/libs/manifest/src/WatcherElection.cpp
+++ b/libs/manifest/src/WatcherElection.cpp
@@ -14,7 +14,7 @@
   size_t before = 0;
   for (const auto& other : aOthers) {
     const uint64_t weight = RendezvousWeight(other.mValue, key);
-    if (weight < own || (weight == own && other < aSelf)) {
+    if (weight < own || (weight == own && other.mValue < aSelf.mValue)) {
       ++before;
     }
   }
--- a/libs/membership/src/Member.cpp
+++ b/libs/membership/src/Member.cpp
@@ -50,7 +50,7 @@
 Supersedes(const MemberUpdate& aNew, const MemberUpdate& aOld)
 {
   if (aNew.mNode.mIncarnation != aOld.mNode.mIncarnation) {
-    return aNew.mNode.mIncarnation > aOld.mNode.mIncarnation;
+    return aNew.mNode.mIncarnation.mValue > aOld.mNode.mIncarnation.mValue;
   }
   if (aOld.mState == MemberState::Left) {
     return false;
--- a/libs/membership/src/MembershipUpdate.cpp
+++ b/libs/membership/src/MembershipUpdate.cpp
@@ -29,7 +29,8 @@
         .mMessage = MemberUpdates{ .mUpdates = { aUpdate } } });
   };
   if (aFrom.mFrom.mId == mSelf.mNode.mId) {
-    if (aFrom.mFrom.mIncarnation < mSelf.mNode.mIncarnation && mAnnounced) {
+    if (aFrom.mFrom.mIncarnation.mValue < mSelf.mNode.mIncarnation.mValue &&
+        mAnnounced) {
       tell(mSelf);
     }
     return false;
@@ -41,7 +42,7 @@
   }
   auto& member = mTable.At(index);
   const auto& known = member.mUpdate;
-  if (aFrom.mFrom.mIncarnation < known.mNode.mIncarnation) {
+  if (aFrom.mFrom.mIncarnation.mValue < known.mNode.mIncarnation.mValue) {
     // Superseded, or a new host whose clock is behind that of the old one.
     tell(known);
     return false;
@@ -143,8 +144,9 @@
                         const Envelope& aFrom,
                         PeerOutput& aOut)
 {
-  const auto& claimed = aUpdate.mNode.mIncarnation;
-  if (claimed > mSelf.mNode.mIncarnation) {
+  const uint64_t claimed = aUpdate.mNode.mIncarnation.mValue;
+  const uint64_t own = mSelf.mNode.mIncarnation.mValue;
+  if (claimed > own) {
     if (mFinal) {
       mSuperseded = true;
       ++mChanges;
@@ -155,12 +157,12 @@
       return;
     }
     // The clock of this host is behind that of its predecessor.
-    mSelf.mNode.mIncarnation.mValue = claimed.mValue + 1 + mRng.Below(1024);
+    mSelf.mNode.mIncarnation.mValue = claimed + 1 + mRng.Below(1024);
     mSelf.mRefutation = 0;
     ChangeSelf(aOut, "a higher incarnation was known");
     return;
   }
-  if (claimed < mSelf.mNode.mIncarnation || !mAnnounced || !mOptions.mRefute) {
+  if (claimed < own || !mAnnounced || !mOptions.mRefute) {
     return;
   }
   const bool accusation = IsAccusation(aUpdate.mState);
--- a/libs/node/src/JoinLogic.cpp
+++ b/libs/node/src/JoinLogic.cpp
@@ -101,7 +101,7 @@
   if (mOptions.mHasStore && aNow >= mNextRead && aStore.MayCall(aNow) &&
       !aStore.IsPending(StoreCalls::Purpose::SeedsRead) &&
       !aStore.IsPending(StoreCalls::Purpose::SeedsWrite) &&
-      (!mOver || alone || aWatcher)) {
+      (!mOver || alone || (aWatcher && !aStore.IsDown()))) {
     mNextRead = aNow + kRefreshPeriod;
     aStore.Start(aNow,
                  StoreCalls::Purpose::SeedsRead,
--- a/libs/node/src/StoreCalls.h
+++ b/libs/node/src/StoreCalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -79,7 +80,7 @@
    * so that watchers do not come back together. */
   void NoteReachable(TimePoint aNow, bool aReachable)
   {
-    mFailures = aReachable ? 0 : std::min(mFailures + 1, 6U);
+    mFailures = aReachable ? 0 : std::min(mFailures + 1, kMaxFailures);
     mRetryAt = aReachable ? aNow
                           : aNow + FromSeconds(0.5 * double(1U << mFailures) *
                                                mRng.Uniform(0.5, 1.5));
@@ -95,6 +96,10 @@
     TimePoint mUntil{};
   };
 
+  /** Longest pause is 8 s with jitter up to 12 s, so that a change published
+   * right after an outage is still in force within 14 s. */
+  static constexpr uint32_t kMaxFailures = 4;
+
   Rng mRng;
   uint64_t mLast = 0;
   std::map<uint64_t, Pending> mPending;
--- a/libs/node/tests/ControlFleet.h
+++ b/libs/node/tests/ControlFleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "../../manifest/tests/MemoryStore.h"
+#include "FleetSlot.h"
 #include "base/Rng.h"
 #include "manifest/ManifestPublisher.h"
 #include "manifest/StoreRecords.h"
@@ -24,46 +25,8 @@
 class ControlFleet
 {
 public:
-  struct Options
-  {
-    uint32_t mNodes = 10;
-    uint32_t mDataCentres = 5;
-    uint32_t mRegions = 2;
-    uint64_t mSeed = 1;
-    Duration mTick = milliseconds(20);
-    Duration mInRegion = microseconds(500);
-    Duration mBetweenRegions = milliseconds(20);
-    double mLoss = 0;      ///< Share of datagrams lost.
-    double mDuplicate = 0; ///< Share of datagrams delivered twice.
-    Duration mJitter{};    ///< Largest additional delay of a message.
-    bool mStaticPeers = false;
-    bool mStore = true;
-    bool mMeasure = false; ///< Takes the processor time of the logic.
-    ControlLogic::Switches mSwitches{};
-  };
-
-  struct Slot
-  {
-    std::string mId;
-    std::string mAddress;
-    std::string mRegion;
-    std::string mDataCentre;
-    std::unique_ptr<ControlLogic> mLogic;
-    uint64_t mRun = 0; ///< Counts the processes in this slot.
-    bool mUp = false;
-    bool mPaused = false;
-    Duration mSlow{}; ///< Additional delay of all that it takes in.
-    std::vector<std::function<void()>> mHeld; ///< Arrived while paused.
-    std::vector<AuditEntry> mAudit;
-    ManifestStamp mStamp;
-    bool mWasReady = false;
-    uint64_t mSlotVersion = 0;  ///< Highest version in force in this slot.
-    uint64_t mReadyVersion = 0; ///< Version when it became ready.
-    uint64_t mBytes = 0;
-    uint64_t mMessages = 0;
-    uint64_t mStoreCalls = 0;
-    Duration mBusy{};
-  };
+  using Options = FleetOptions;
+  using Slot = FleetSlot;
 
   explicit ControlFleet(Options aOptions)
     : mOptions(aOptions)
@@ -340,39 +303,6 @@
     return true;
   }
 
-  /** @return the state of each slot and where its view is wrong. */
-  std::string Describe()
-  {
-    std::string text;
-    for (uint32_t i = 0; i < mSlots.size(); ++i) {
-      auto& slot = mSlots[i];
-      text += slot.mId + (slot.mUp ? " up" : " down") +
-              (slot.mPaused ? " paused" : "");
-      if (slot.mUp) {
-        text += std::string(slot.mLogic->IsReady() ? " ready" : "") +
-                (slot.mLogic->IsSuperseded() ? " superseded" : "") + " inc " +
-                std::to_string(slot.mLogic->Self().mIncarnation.mValue) +
-                " version " + std::to_string(slot.mStamp.mVersion);
-        for (const auto& update : slot.mLogic->Members()) {
-          const auto of = mByAddress.find(update.mPeerAddress);
-          const bool live = update.mState != MemberState::Dead &&
-                            update.mState != MemberState::Left;
-          const bool right =
-            of != mByAddress.end() && live == IsRunning(of->second) &&
-            (!live || update.mNode == mSlots[of->second].mLogic->Self());
-          if (!right || update.mState == MemberState::Suspect) {
-            text += "; " + update.mNode.mId.mValue + " " +
-                    std::string(ToName(update.mState)) + " inc " +
-                    std::to_string(update.mNode.mIncarnation.mValue) + " ref " +
-                    std::to_string(update.mRefutation);
-          }
-        }
-      }
-      text += "\n";
-    }
-    return text;
-  }
-
   /** @return whether all running nodes have this version in force. */
   bool IsInForce(uint64_t aVersion)
   {
--- a/libs/node/tests/ControlScheduleTest.cpp
+++ b/libs/node/tests/ControlScheduleTest.cpp
@@ -9,6 +9,42 @@
 
 namespace {
 
+/** @return the state of each slot and where its view is wrong. */
+std::string
+Describe(ControlFleet& aFleet)
+{
+  std::string text;
+  auto& slots = aFleet.Slots();
+  for (auto& slot : slots) {
+    text +=
+      slot.mId + (slot.mUp ? " up" : " down") + (slot.mPaused ? " paused" : "");
+    if (slot.mUp) {
+      text += std::string(slot.mLogic->IsReady() ? " ready" : "") +
+              (slot.mLogic->IsSuperseded() ? " superseded" : "") + " inc " +
+              std::to_string(slot.mLogic->Self().mIncarnation.mValue) +
+              " version " + std::to_string(slot.mStamp.mVersion);
+      for (const auto& update : slot.mLogic->Members()) {
+        const auto of = std::find_if(
+          slots.begin(), slots.end(), [&](const ControlFleet::Slot& aSlot) {
+            return aSlot.mId == update.mNode.mId.mValue;
+          });
+        const bool live = update.mState != MemberState::Dead &&
+                          update.mState != MemberState::Left;
+        const bool right =
+          live == of->mUp && (!live || update.mNode == of->mLogic->Self());
+        if (!right || update.mState == MemberState::Suspect) {
+          text += "; " + update.mNode.mId.mValue + " " +
+                  std::string(ToName(update.mState)) + " inc " +
+                  std::to_string(update.mNode.mIncarnation.mValue) + " ref " +
+                  std::to_string(update.mRefutation);
+        }
+      }
+    }
+    text += "\n";
+  }
+  return text;
+}
+
 /** One random run of a fleet under combined faults. */
 class Schedule
 {
@@ -207,7 +243,7 @@
       return mFleet.IsAgreed();
     });
     if (!merged) {
-      return "members did not agree within 60 s\n" + mFleet.Describe();
+      return "members did not agree within 60 s\n" + Describe(mFleet);
     }
     Publish();
     const uint64_t last = mAccepted.back().second;
