--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -169,13 +169,10 @@
                 const std::string& aService,
                 const std::string& aClass);
   void HangUp(size_t aCall);
-<<<<<<< HEAD
   /** @return executions at the upstreams of all hosts. */
   [[nodiscard]] size_t WorkInFlight() const;
-=======
   /** @return child calls for whose answer an upstream still waits. */
   [[nodiscard]] size_t OpenChildCalls() const { return mChildWaits.size(); }
->>>>>>> tools
   std::function<void(size_t)> mOnAnswer;
 
   // -- Observation --
