--- a/libs/overload/tests/AdmissionQueueTest.cpp
+++ b/libs/overload/tests/AdmissionQueueTest.cpp
@@ -460,6 +460,7 @@
 {
   const double share = aCapacity / aParties;
   std::vector<Demand> demands;
+  demands.reserve(aParties);
   for (int i = 0; i < aParties; ++i) {
     demands.push_back({ .mParty = "party-" + std::to_string(i),
                         .mRate = share * (i == 0 ? 10 : 1.2) });
@@ -508,6 +509,7 @@
       model.ResetCounts();
       model.RunUntil(40);
       std::vector<double> rates;
+      rates.reserve(demands.size());
       for (const auto& demand : demands) {
         rates.push_back(model.GoodRate(demand.mParty));
       }
--- a/libs/quarantine/tests/CrashCorrelatorTest.cpp
+++ b/libs/quarantine/tests/CrashCorrelatorTest.cpp
@@ -265,8 +265,10 @@
 {
   constexpr size_t kNodes = 6;
   constexpr uint64_t kCrashing = 1;
-  for (const auto& [copies, delay] :
+  for (const auto& [copiesAtOnce, roundsLate] :
        { std::pair{ 1, 0 }, { 1, 2 }, { 2, 0 }, { 2, 2 }, { 4, 2 } }) {
+    const int copies = copiesAtOnce;
+    const int delay = roundsLate;
     for (uint64_t seed = 1; seed <= 20; ++seed) {
       INFO(copies << " copies at once, reports " << delay
                   << " rounds late, seed " << seed);
--- a/libs/routing/tests/RouterTest.cpp
+++ b/libs/routing/tests/RouterTest.cpp
@@ -176,6 +176,7 @@
                          { seconds(10), 0.08, 0.12 } };
   for (const uint64_t seed : { 1, 2, 3 }) {
     std::vector<MemberUpdate> targets;
+    targets.reserve(10);
     for (int i = 0; i < 9; ++i) {
       targets.push_back(Member("a" + std::to_string(i), "east", "e1"));
     }
@@ -260,6 +261,7 @@
   for (const uint64_t seed : { 1, 2, 3 }) {
     INFO("seed " << seed);
     std::vector<MemberUpdate> targets;
+    targets.reserve(10);
     for (int i = 0; i < 5; ++i) {
       targets.push_back(Member("a" + std::to_string(i), "east", "e1"));
     }
@@ -382,10 +384,12 @@
   constexpr double kDelay = 0.005;
   Rng rng(aSeed);
   std::vector<MemberUpdate> targets;
+  targets.reserve(kTargets);
   for (int i = 0; i < kTargets; ++i) {
     targets.push_back(Member("a" + std::to_string(i), "east", "e1", kSlots));
   }
   std::vector<Router> routers;
+  routers.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     routers.push_back(EastRouter(targets, aSeed * 10 + i));
   }
