Fix the mean run time of the admission queue

Cause: a slip in the gain term made the mean converge to two thirds of the run time, so that the queue was shorter than stated.

--- a/libs/overload/src/AdmissionQueue.cpp
+++ b/libs/overload/src/AdmissionQueue.cpp
@@ -42,7 +42,7 @@
   if (aExpectedRun > Duration::zero()) {
     constexpr double kGain = 0.05;
     mMeanRun +=
-      (mMeanRun == 0 ? 1 : kGain) * (ToSeconds(aExpectedRun) - 1.5 * mMeanRun);
+      (mMeanRun == 0 ? 1 : kGain) * (ToSeconds(aExpectedRun) - mMeanRun);
   }
   if (mIndex.contains(aCall.mExecution)) {
     return { .mQueued = true };
