Bound the input that waits over all connections

Cause: 2,000 connections could each hold a partial body of nearly 2 MB, far above the memory of a node. Above 64 MB in total, requests that have arrived in part are refused with 503 as not run. The stream that carries answers out of the library has a file of its own.

--- a/libs/server/include/server/HttpConnection.h
+++ b/libs/server/include/server/HttpConnection.h
@@ -62,6 +62,7 @@
 
   // Used by the thread that holds the connection.
   std::string mBuffer;
+  size_t mCharged = 0; ///< Share of mBuffer in the total of the listener.
   RequestFramer mFramer;
   std::string mOutput;      ///< Rest of an answer.
   bool mCounted = false;    ///< Is among the requests without a written answer.
--- a/libs/server/include/server/HttpListener.h
+++ b/libs/server/include/server/HttpListener.h
@@ -38,6 +38,9 @@
     uint32_t mMaxConnections = 2000;
     uint32_t mMaxWorkers = 64;
     RequestFramer::Limits mLimits;
+    /** Input kept over all connections. Above it, requests that have arrived in
+     * part and are larger than a head are refused. */
+    size_t mMaxBufferedBytes = size_t(64) * 1024 * 1024;
     Duration mIdleTimeout = seconds(75);
     /** From the first byte of a request to its last. */
     Duration mRequestTimeout = seconds(10);
@@ -120,6 +123,7 @@
                 HttpConnection::State aState,
                 Duration aLimit);
   void Uncount(HttpConnection& aConnection);
+  void Charge(HttpConnection& aConnection);
   Next Remove(const ConnectionPtr& aConnection);
   ConnectionPtr Find(uint64_t aId);
 
@@ -134,6 +138,7 @@
   std::atomic<bool> mStopping = false;
   std::atomic<uint32_t> mWorkers = 0;
   std::atomic<uint32_t> mIdleWorkers = 0;
+  std::atomic<size_t> mBuffered = 0;  ///< Bytes in the buffers of connections.
   std::atomic<uint32_t> mServing = 0; ///< Requests without a written answer.
 
   std::mutex mMutex; ///< Guards the members below.
--- a/libs/server/src/HttpListener.cpp
+++ b/libs/server/src/HttpListener.cpp
@@ -11,6 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "AnswerStream.h"
+
 namespace amaranthgap {
 
 namespace {
@@ -38,43 +40,6 @@
   void shutdown() override {} // NOLINT: library name
 };
 
-/** Gives the library a bare request head and collects what it writes. The
- * caller's own head is not passed in: the library would compress the answer or
- * cut ranges out of it on behalf of headers meant for the upstream. */
-class AnswerStream : public httplib::Stream
-{
-public:
-  explicit AnswerStream(std::string aHead)
-    : mHead(std::move(aHead))
-  {
-  }
-
-  bool is_readable() const override { return mRead < mHead.size(); }
-  bool is_writable() const override { return true; }
-  ssize_t read(char* aData, size_t aSize) override
-  {
-    const size_t n = std::min(aSize, mHead.size() - mRead);
-    std::copy_n(mHead.data() + mRead, n, aData);
-    mRead += n;
-    return ssize_t(n);
-  }
-  ssize_t write(const char* aData, size_t aSize) override
-  {
-    mWritten.append(aData, aSize);
-    return ssize_t(aSize);
-  }
-  void get_remote_ip_and_port(std::string&, int&) const override {}
-  void get_local_ip_and_port(std::string&, int&) const override {}
-  // The library refuses sockets above FD_SETSIZE; none is behind this stream.
-  socket_t socket() const override { return -1; }
-
-  std::string mWritten;
-
-private:
-  std::string mHead;
-  size_t mRead = 0;
-};
-
 } // namespace
 
 HttpListener::HttpListener(Options aOptions, Handler aHandler, Refusal aRefusal)
@@ -262,9 +227,18 @@
   }
 }
 
+void
+HttpListener::Charge(HttpConnection& aConnection)
+{
+  const size_t n = aConnection.mBuffer.size();
+  mBuffered += n;
+  mBuffered -= std::exchange(aConnection.mCharged, n);
+}
+
 HttpListener::Next
 HttpListener::Remove(const ConnectionPtr& aConnection)
 {
+  mBuffered -= std::exchange(aConnection->mCharged, 0);
   Uncount(*aConnection);
   // The socket is closed when the last reference goes, which also takes it out
   // of the epoll set.
@@ -402,6 +376,7 @@
   const size_t maxBuffer =
     mOptions.mLimits.mMaxHeaderBytes + 2 * mOptions.mLimits.mMaxBodyBytes;
   const auto result = aConnection->ReadAvailable(maxBuffer);
+  Charge(*aConnection);
   return ServeBuffered(aConnection,
                        result == HttpConnection::ReadResult::Ended);
 }
@@ -449,6 +424,10 @@
       mOptions.mLimits.mMaxHeaderBytes + 2 * mOptions.mLimits.mMaxBodyBytes) {
     return Refuse(aConnection, 413);
   }
+  if (mBuffered > mOptions.mMaxBufferedBytes &&
+      connection.mBuffer.size() > mOptions.mLimits.mMaxHeaderBytes) {
+    return Refuse(aConnection, 503);
+  }
   if (connection.mFramer.TakeExpectation()) {
     connection.mOutput = "HTTP/1.1 100 Continue\r\n\r\n";
     if (!connection.WriteAvailable() || !connection.mOutput.empty()) {
@@ -515,6 +494,7 @@
   connection.SetOnGone({});
   connection.mBuffer.erase(0, connection.mFramer.Length());
   connection.mFramer.Reset();
+  Charge(connection);
   connection.mCloseAfter = !connection.mKeepAfter || !mAccepting;
   bool open = !connection.IsGone();
   if (open) {
@@ -560,6 +540,7 @@
 HttpListener::Discard(const ConnectionPtr& aConnection)
 {
   aConnection->mBuffer.clear();
+  Charge(*aConnection);
   return aConnection->ReadAvailable(mOptions.mLimits.mMaxBodyBytes) ==
              HttpConnection::ReadResult::Ended
            ? Remove(aConnection)
--- a/libs/server/tests/HttpListenerTest.cpp
+++ b/libs/server/tests/HttpListenerTest.cpp
@@ -283,6 +283,29 @@
   CHECK(BodyOf(sockets[500].ReadAnswer()) == "GET /again ");
 }
 
+// Guards against partial bodies on many connections that fill the memory.
+TEST_CASE("input that waits is bounded over all connections", "[server]")
+{
+  HttpListener::Options options = TestOptions();
+  options.mMaxBufferedBytes = 20000;
+  options.mRequestTimeout = seconds(20);
+  Fixture fixture(options);
+  std::deque<TestSocket> sockets;
+  for (int n = 0; n < 6; ++n) {
+    sockets.emplace_back(fixture.Port())
+      .Send("POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" +
+            std::string(3900, 'x'));
+    // The order of arrival decides who is refused.
+    std::this_thread::sleep_for(milliseconds(30));
+  }
+  CHECK(sockets[5].ReadAnswer().starts_with("HTTP/1.1 503 "));
+  TestSocket small(fixture.Port());
+  small.Send(Get("/"));
+  CHECK(BodyOf(small.ReadAnswer()) == "GET / ");
+  sockets[0].Send(std::string(100, 'x'));
+  CHECK(sockets[0].ReadAnswer().starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against connections without number.
 TEST_CASE("connections above the limit are refused", "[server]")
 {
