--- a/libs/node/tests/ControlFleet.h
+++ b/libs/node/tests/ControlFleet.h
@@ -353,26 +353,8 @@
   }
 
 private:
-  struct Event
-  {
-    TimePoint mAt;
-    uint64_t mNumber;
-    std::function<void()> mWork;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::tie(mAt, mNumber) > std::tie(aOther.mAt, aOther.mNumber);
-    }
-  };
-
-  struct PendingWatch
-  {
-    uint32_t mSlot;
-    uint64_t mRun;
-    StoreCallId mCall;
-    StoreRequest mRequest;
-    TimePoint mUntil;
-  };
+  using Event = FleetEvent;
+  using PendingWatch = FleetWatch;
 
   static std::string ServiceOf(uint32_t aSlot)
   {
--- a/libs/node/tests/FleetSlot.h
+++ b/libs/node/tests/FleetSlot.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "node/ControlLogic.h"
@@ -52,4 +53,27 @@
   Duration mBusy{};
 };
 
+/** Work at a moment; earlier events come first in a priority queue. */
+struct FleetEvent
+{
+  TimePoint mAt;
+  uint64_t mNumber;
+  std::function<void()> mWork;
+
+  bool operator<(const FleetEvent& aOther) const
+  {
+    return std::tie(mAt, mNumber) > std::tie(aOther.mAt, aOther.mNumber);
+  }
+};
+
+/** Watch on the store that waits for a change. */
+struct FleetWatch
+{
+  uint32_t mSlot;
+  uint64_t mRun;
+  StoreCallId mCall;
+  StoreRequest mRequest;
+  TimePoint mUntil;
+};
+
 } // namespace amaranthgap
