Stop the callers of a schedule before its clock gets coarser

The callers still sent requests after the nodes had gone over to ticks of 100 ms, for which the bound of one tick of 20 ms plus 40 ms was not meant. They now stop one second after the faults; the bound stays.

Accepting calls for another incarnation is not noticed by the schedules.

--- a/libs/node/tests/Schedule.cpp
+++ b/libs/node/tests/Schedule.cpp
@@ -156,6 +156,11 @@
 Schedule::Send(uint64_t aOperation)
 {
   Operation& operation = mOperations[aOperation];
+  // Callers stop soon after the faults, so that all deadlines have passed when
+  // the nodes tick less often.
+  if (mSim.Now() > mEnd + seconds(1)) {
+    return;
+  }
   // A caller finds any node that takes its connection.
   for (int i = 0; i < 20 && !mSim.Hosts()[operation.mHost].mAlive; ++i) {
     operation.mHost = mRng.Below(mSim.Hosts().size());
