Throttle at the root on refusals below a service

Cause: a service whose child call was refused answers with an error of its own. The root node counted that as accepted, so the throttle of the root was never cut by an overload deep in the graph. Pressure was also the fill that a call met on arrival, up to a run time old when it reached the root. Conclusion: a failed answer under pressure of 1 counts as refused, with the time at which the call was admitted; pressure is taken when the reply leaves.

--- a/libs/node/include/node/EntryCall.h
+++ b/libs/node/include/node/EntryCall.h
@@ -48,6 +48,7 @@
   uint32_t mImportance = 0;
   uint32_t mDepth = 1;
   bool mIdempotent = true;
+  TimePoint mArrived;
   TimePoint mDeadline;
   std::string mChildKey; ///< As the upstream sent it.
   std::string mKey;      ///< Issued key.
--- a/libs/node/src/EntryAttempts.cpp
+++ b/libs/node/src/EntryAttempts.cpp
@@ -21,6 +21,24 @@
   return aReason == Reason::Overloaded || aReason == Reason::Evicted;
 }
 
+/** @return whether the whole request failed because a queue refused a call, at
+ * the target itself or below it. A service answers with an error of its own
+ * when one of its child calls was refused, so that the outcome alone does not
+ * tell. */
+bool
+IsRefusedForLoad(const ReplyMessage& aReply)
+{
+  if (aReply.mOutcome == Outcome::NotRun) {
+    return IsShed(aReply.mReason) || aReply.mReason == Reason::DeadlineExpired;
+  }
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServerError = 500;
+  const bool hasFailed = aReply.mOutcome == Outcome::MayHaveRun ||
+                         aReply.mHttp.mStatus == kTooManyRequests ||
+                         aReply.mHttp.mStatus >= kServerError;
+  return hasFailed && aReply.mPressure >= 1;
+}
+
 /** @return whether another target may take a call refused for this reason. */
 bool
 MayHelpElsewhere(Reason aReason)
@@ -166,7 +184,9 @@
   if (!aCall.mIsChild) {
     mThrottle.Replied(aNow,
                       aCall.Throttle(),
-                      { .mRefused = isRefused, .mPressure = aReply.mPressure });
+                      { .mRefused = IsRefusedForLoad(aReply),
+                        .mPressure = aReply.mPressure,
+                        .mSent = aCall.mArrived });
   }
   if (aReply.mSuspect) {
     aCall.mSuspect = true;
--- a/libs/node/src/EntryLogic.cpp
+++ b/libs/node/src/EntryLogic.cpp
@@ -163,6 +163,7 @@
                   .mRequestClass = std::move(aCall.mRequestClass),
                   .mImportance = entry.mImportance,
                   .mIdempotent = entry.mIdempotent,
+                  .mArrived = aNow,
                   .mDeadline = aNow + timeout,
                   .mHttp = std::move(aCall.mHttp),
                   .mManifest = mManifest,
--- a/libs/node/src/TargetAdmission.cpp
+++ b/libs/node/src/TargetAdmission.cpp
@@ -49,7 +49,6 @@
   const ExecutionId id = aExecution.mId;
   const double rate = DrainRate(aNow);
   const double fill = mQueue->Fill(call.mImportance, rate);
-  aExecution.mPressure = std::max(aExecution.mPressure, fill);
   aExecution.mStage = ExecutionStage::Queued;
   const AdmissionQueue::Verdict verdict =
     mQueue->Offer(aNow,
--- a/libs/node/src/TargetEnd.cpp
+++ b/libs/node/src/TargetEnd.cpp
@@ -89,6 +89,14 @@
     return;
   }
   const std::string key = ReplaceKey(aNow, aExecution.mCall, aVerdict);
+  // The fill of the queue now says more of the next calls than the fill that
+  // this call met on its arrival.
+  const double fill =
+    mOptions.mPolicyOff
+      ? 0
+      : mQueue->Fill(aExecution.mCall.mImportance, DrainRate(aNow));
+  const double pressure =
+    std::max({ fill, aVerdict.mPressure, aExecution.mPressure });
   for (const ReplyAddress& to : aExecution.mWaiters) {
     SendReply(to,
               { .mCall = to.mCall,
@@ -97,7 +105,7 @@
                 .mHttp = aHttp,
                 .mRetryAfterMs = uint32_t(ToMillis(aVerdict.mRetryAfter)),
                 .mLoad = Load(aNow),
-                .mPressure = std::max(aVerdict.mPressure, aExecution.mPressure),
+                .mPressure = pressure,
                 .mSuspect = aVerdict.mSuspect,
                 .mTouchedOnce = aExecution.mTouchedOnce,
                 .mIssuedKey = key },
