--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -1,3 +1,12 @@
+# Tests that fail because of a known fault; the test run passes over exactly
+# these.
+set(known_red_file ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+             ${known_red_file})
+if(EXISTS ${known_red_file})
+  file(STRINGS ${known_red_file} KNOWN_RED REGEX "^test: ")
+endif()
+
 # Declares a module below libs/: a static library from src/*.cpp with public
 # headers in include/, and one Catch2 test binary from tests/*.cpp.
 function(amaranthgap_module NAME)
@@ -22,7 +31,13 @@
     target_include_directories(${NAME}_tests PRIVATE ${dir}/src ${dir}/tests)
     target_compile_definitions(${NAME}_tests PRIVATE
       AMARANTHGAP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+    set(excluded)
+    foreach(entry ${KNOWN_RED})
+      if(entry MATCHES "^test: (.*) \\(${NAME}\\)$")
+        list(APPEND excluded "~${CMAKE_MATCH_1}")
+      endif()
+    endforeach()
+    add_test(NAME ${NAME} COMMAND ${NAME}_tests ${excluded})
   endif()
 endfunction()
 
--- a/libs/node/include/node/KeyKeeper.h
+++ b/libs/node/include/node/KeyRegistry.h
@@ -18,7 +18,7 @@
 /** Idempotency keys at their executing node: issuing, the execution table, and
  * the closing records of this and of other incarnations with their transfer to
  * two holders. Not safe for use by several threads. */
-class KeyKeeper
+class KeyRegistry
 {
 public:
   struct Options
@@ -28,7 +28,7 @@
     size_t mTableBytes = size_t{ 64 } * 1024 * 1024;
   };
 
-  explicit KeyKeeper(Options aOptions);
+  explicit KeyRegistry(Options aOptions);
 
   void SetSelf(const NodeRef& aSelf) { mOptions.mSelf = aSelf; }
   void SetMembers(const MemberListPtr& aMembers) { mMembers = aMembers; }
--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -10,7 +10,7 @@
 #include "node/DuplicateFilter.h"
 #include "node/Effects.h"
 #include "node/Execution.h"
-#include "node/KeyKeeper.h"
+#include "node/KeyRegistry.h"
 #include "node/ServiceGroup.h"
 #include "node/Snapshots.h"
 #include "node/UpstreamWatch.h"
@@ -207,7 +207,7 @@
   Duration mTargetDelay = milliseconds(50);
   PartyUsage mUsage;
   std::unique_ptr<CrashCorrelator> mCrashes;
-  KeyKeeper mKeys;
+  KeyRegistry mKeys;
 
   std::unordered_map<ExecutionId, std::unique_ptr<Execution>> mExecutions;
   std::unordered_map<std::string, ExecutionId> mByContext;
--- a/libs/node/src/KeyKeeper.cpp
+++ b/libs/node/src/KeyRegistry.cpp
@@ -1,4 +1,4 @@
-#include "node/KeyKeeper.h"
+#include "node/KeyRegistry.h"
 
 #include <algorithm>
 
@@ -21,7 +21,7 @@
 
 } // namespace
 
-KeyKeeper::KeyKeeper(Options aOptions)
+KeyRegistry::KeyRegistry(Options aOptions)
   : mOptions(std::move(aOptions))
   , mTable({ .mMaxBytes = mOptions.mTableBytes })
   , mClosed({})
@@ -29,7 +29,7 @@
 }
 
 std::string
-KeyKeeper::Issue(TimePoint aNow, const KeyRequest& aRequest)
+KeyRegistry::Issue(TimePoint aNow, const KeyRequest& aRequest)
 {
   return IssuedKey{ .mService = aRequest.mService,
                     .mRequestClass = aRequest.mRequestClass,
@@ -41,13 +41,13 @@
 }
 
 std::optional<IssuedKey>
-KeyKeeper::Read(const std::string& aText) const
+KeyRegistry::Read(const std::string& aText) const
 {
   return IssuedKey::FromText(aText, mOptions.mSecret);
 }
 
 void
-KeyKeeper::Burn(TimePoint aNow, const IssuedKey& aKey)
+KeyRegistry::Burn(TimePoint aNow, const IssuedKey& aKey)
 {
   BurntKeys& keys = mBurnt[aKey.mSequence / 64];
   keys.mBits |= uint64_t{ 1 } << (aKey.mSequence % 64);
@@ -55,7 +55,7 @@
 }
 
 bool
-KeyKeeper::IsBurnt(const IssuedKey& aKey) const
+KeyRegistry::IsBurnt(const IssuedKey& aKey) const
 {
   const auto it = mBurnt.find(aKey.mSequence / 64);
   return it != mBurnt.end() &&
@@ -65,7 +65,7 @@
 // -- Hand-over --------------------------------------------------------------
 
 void
-KeyKeeper::Close(TimePoint aNow, const std::string& aService)
+KeyRegistry::Close(TimePoint aNow, const std::string& aService)
 {
   mDraining = true;
   mTable.Expire(aNow);
@@ -79,7 +79,7 @@
 }
 
 std::vector<MemberUpdate>
-KeyKeeper::Takers(const NodeRef& aRecord, const std::string& aService) const
+KeyRegistry::Takers(const NodeRef& aRecord, const std::string& aService) const
 {
   if (!mMembers) {
     return {};
@@ -100,10 +100,10 @@
 }
 
 void
-KeyKeeper::StartTransfer(TimePoint aNow,
-                         const NodeRef& aRecord,
-                         const MemberUpdate& aTo,
-                         const std::vector<ClosingRecordTransfer>& aPieces)
+KeyRegistry::StartTransfer(TimePoint aNow,
+                           const NodeRef& aRecord,
+                           const MemberUpdate& aTo,
+                           const std::vector<ClosingRecordTransfer>& aPieces)
 {
   const bool isUnderWay =
     std::ranges::any_of(mTransfers, [&](const Transfer& aTransfer) {
@@ -122,7 +122,7 @@
 }
 
 void
-KeyKeeper::Replicate(TimePoint aNow)
+KeyRegistry::Replicate(TimePoint aNow)
 {
   if (mOwnRecord) {
     for (const MemberUpdate& to : Takers(mOptions.mSelf, mOwnService)) {
@@ -139,7 +139,7 @@
 }
 
 void
-KeyKeeper::Send(TimePoint aNow, Transfer& aTransfer, Effects& aEffects)
+KeyRegistry::Send(TimePoint aNow, Transfer& aTransfer, Effects& aEffects)
 {
   aTransfer.mNextSend = aNow + kResendInterval;
   size_t count = 0;
@@ -155,11 +155,11 @@
 }
 
 void
-KeyKeeper::TransferArrived(TimePoint aNow,
-                           const NodeRef& aFrom,
-                           const std::string& aAddress,
-                           const ClosingRecordTransfer& aTransfer,
-                           Effects& aEffects)
+KeyRegistry::TransferArrived(TimePoint aNow,
+                             const NodeRef& aFrom,
+                             const std::string& aAddress,
+                             const ClosingRecordTransfer& aTransfer,
+                             Effects& aEffects)
 {
   if (!aTransfer.mStored) {
     if (aTransfer.mNode == mOptions.mSelf || mDraining ||
@@ -190,7 +190,7 @@
 }
 
 bool
-KeyKeeper::IsOver(TimePoint aNow, const Transfer& aTransfer) const
+KeyRegistry::IsOver(TimePoint aNow, const Transfer& aTransfer) const
 {
   const Presence presence =
     mMembers ? PresenceOf(*mMembers, aTransfer.mTo.mNode) : Presence::Unknown;
@@ -200,13 +200,13 @@
 }
 
 bool
-KeyKeeper::IsHandedOver() const
+KeyRegistry::IsHandedOver() const
 {
   return mOwnRecord.has_value() && mTransfers.empty();
 }
 
 void
-KeyKeeper::Tick(TimePoint aNow, Effects& aEffects)
+KeyRegistry::Tick(TimePoint aNow, Effects& aEffects)
 {
   if (aNow >= mNextReplication) {
     mNextReplication = aNow + kReplicationInterval;
