--- a/libs/node/tests/EntryLogicTest.cpp
+++ b/libs/node/tests/EntryLogicTest.cpp
@@ -376,3 +376,50 @@
   REQUIRE(replaced.Answers().size() == 1);
   CHECK(replaced.Answers()[0].mOutcome == Outcome::MayHaveRun);
 }
+
+// Guards against work for requests that fail further down: a service answers
+// with an error of its own when a child call was refused, which once counted as
+// accepted, so that the root node never throttled.
+TEST_CASE("refusals below a service throttle its callers", "[entry]")
+{
+  struct Case
+  {
+    const char* mName;
+    int mStatus;
+    double mPressure;
+    bool mThrottles;
+  };
+  const Case cases[] = {
+    { "refused below", 502, 1, true },
+    { "error without load", 502, 0, false },
+    { "answered beside a full queue", 200, 1, false },
+  };
+  for (const Case& row : cases) {
+    INFO(row.mName);
+    Fixture fixture;
+    size_t refused = 0;
+    for (uint64_t i = 0; i < 300; ++i) {
+      const TimePoint now = kStart + milliseconds(10 * i);
+      fixture.Clear();
+      fixture.mLogic.CallArrived(now,
+                                 { .mCaller = { 100 + i },
+                                   .mRequest = { std::to_string(i) },
+                                   .mCallerName = "web",
+                                   .mService = "leaf",
+                                   .mRequestClass = "read" },
+                                 fixture.mEffects);
+      const auto sent = fixture.Sent<CallMessage>();
+      if (sent.empty()) {
+        refused += fixture.Answers().at(0).mReason == Reason::Throttled;
+        continue;
+      }
+      ReplyMessage reply = Good(std::get<CallMessage>(sent[0].mMessage).mCall);
+      reply.mHttp.mStatus = row.mStatus;
+      reply.mPressure = row.mPressure;
+      fixture.mLogic.ReplyArrived(
+        now + milliseconds(5), sent[0].mTo, reply, fixture.mEffects);
+    }
+    CHECK((refused > 100) == row.mThrottles);
+    CHECK((refused == 0) != row.mThrottles);
+  }
+}
--- a/libs/overload/include/overload/ConcurrencyLimiter.h
+++ b/libs/overload/include/overload/ConcurrencyLimiter.h
@@ -13,7 +13,7 @@
 {
   WarmUp,
   Steady,
-  ProbeDown, ///< Half the limit for one window, to tell queueing from slowness.
+  ProbeDown, ///< 0.7 of the limit for a while, to tell queueing from slowness.
   ProbeUp,   ///< A tenth more, kept when the own time holds.
 };
 
