--- a/bench/ControlSlopes.cpp
+++ b/bench/ControlSlopes.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// Two regions with five data centres need a node each.
+constexpr uint32_t kFewestNodes = 5;
+
 /** Sums over all slots at one moment. */
 struct Totals
 {
@@ -215,7 +218,15 @@
 {
   std::vector<uint32_t> sizes;
   for (int i = 1; i < argc; ++i) {
-    sizes.push_back(uint32_t(std::strtoul(argv[i], nullptr, 10)));
+    const auto size = uint32_t(std::strtoul(argv[i], nullptr, 10));
+    if (size < kFewestNodes) {
+      std::fprintf(stderr,
+                   "usage: amaranthgap-bench control-slopes [NODES...], each "
+                   "at least %u\n",
+                   kFewestNodes);
+      return 2;
+    }
+    sizes.push_back(size);
   }
   if (sizes.empty()) {
     sizes = { 10, 40, 160, 640 };
--- a/bench/LoadRun.cpp
+++ b/bench/LoadRun.cpp
@@ -50,7 +50,7 @@
 RequestEnd
 EndOf(const BenchResponse& aResponse)
 {
-  const int status = aResponse.result_int();
+  const auto status = int(aResponse.result_int());
   const std::string outcome = HeaderOf(aResponse, "Amaranthgap-Outcome");
   if (outcome == "not-run") {
     return RequestEnd::NotRun;
@@ -191,7 +191,7 @@
 void
 LoadRun::OnAnswer(const JobPtr& aJob, const BenchResponse& aResponse)
 {
-  const int status = aResponse.result_int();
+  const auto status = int(aResponse.result_int());
   mRecorder.Answered(HeaderOf(aResponse, "Amaranthgap-Reason"), status);
   const std::string key = HeaderOf(aResponse, "Idempotency-Key");
   if (status == 409 && !key.empty() && key != aJob->mKey &&
--- a/libs/manifest/include/manifest/ManifestReplica.h
+++ b/libs/manifest/include/manifest/ManifestReplica.h
@@ -30,7 +30,7 @@
     /** Delta that is carried on a rumor; the rest of 1,200 bytes is for the
      * envelope. */
     size_t mRumorBytes = 960;
-    size_t mPageBytes = 48 * 1024;
+    size_t mPageBytes = size_t{ 48 } * 1024;
 
     // Mechanisms that tests switch off to show that they are needed.
     bool mRumors = true;
--- a/libs/manifest/src/ManifestReplica.cpp
+++ b/libs/manifest/src/ManifestReplica.cpp
@@ -10,7 +10,7 @@
 
 /** Deltas kept to bring lagging peers up to date. */
 constexpr size_t kMaxDeltas = 256;
-constexpr size_t kMaxDeltaBytes = 1024 * 1024;
+constexpr size_t kMaxDeltaBytes = size_t{ 1024 } * 1024;
 
 /** A requester asks for at most this many whole pages a second, and a node
  * sends no more than that to all requesters together. */
--- a/libs/manifest/tests/ManifestReplicaTest.cpp
+++ b/libs/manifest/tests/ManifestReplicaTest.cpp
@@ -266,8 +266,8 @@
   }
   pair.Announce();
   CHECK(pair.mNodes[1].Stamp() == pair.mNodes[0].Stamp());
-  CHECK(pair.mLargest <= 64 * 1024);
-  CHECK(most <= 5 * 50 * 1024);
+  CHECK(pair.mLargest <= size_t{ 64 } * 1024);
+  CHECK(most <= size_t{ 5 } * 50 * 1024);
 }
 
 // Guards against a node that spends more than its 9 KB/s because many new
@@ -288,7 +288,7 @@
       bytes += buf.size();
     }
   }
-  CHECK(bytes > 1024 * 1024);
+  CHECK(bytes > size_t{ 1024 } * 1024);
   CHECK(bytes / 600 < 9000);
 }
 
@@ -338,6 +338,7 @@
 TEST_CASE("two watchers are elected", "[manifest]")
 {
   std::vector<NodeId> nodes;
+  nodes.reserve(820);
   for (int i = 0; i < 820; ++i) {
     nodes.push_back({ "host-" + std::to_string(i) });
   }
--- a/libs/manifest/tests/MemoryStore.h
+++ b/libs/manifest/tests/MemoryStore.h
@@ -40,7 +40,7 @@
     if (fault == Fault::LoseRequest) {
       return { .mVerdict = StoreVerdict::Unclear, .mDetail = "timeout" };
     }
-    const auto answer = Apply(aRequest, fault == Fault::Lag);
+    auto answer = Apply(aRequest, fault == Fault::Lag);
     if (fault == Fault::LoseAnswer) {
       return { .mVerdict = StoreVerdict::Unclear, .mDetail = "timeout" };
     }
--- a/libs/membership/tests/MembershipTest.cpp
+++ b/libs/membership/tests/MembershipTest.cpp
@@ -145,6 +145,7 @@
 {
   Fixture fixture;
   std::vector<MemberUpdate> updates;
+  updates.reserve(500);
   for (int i = 0; i < 500; ++i) {
     updates.push_back(
       Update("host-" + std::to_string(i) + std::string(size_t(i % 60), 'x'),
--- a/libs/node/tests/ControlFleet.h
+++ b/libs/node/tests/ControlFleet.h
@@ -484,7 +484,9 @@
     }
   }
 
-  void CallStore(uint32_t aSlot, StoreCallId aCall, StoreRequest aRequest)
+  void CallStore(uint32_t aSlot,
+                 StoreCallId aCall,
+                 const StoreRequest& aRequest)
   {
     const Duration delay = milliseconds(2) + Random(milliseconds(2));
     if (mStoreDown || mRng.Uniform() < mStoreSlow) {
