--- a/libs/node/include/node/NodeLogic.h
+++ b/libs/node/include/node/NodeLogic.h
@@ -103,11 +103,11 @@
   // -- Upstream --
 
   void UpstreamAnnounced(TimePoint aNow,
-                         Announcement aAnnouncement,
+                         const Announcement& aAnnouncement,
                          Actions& aActions);
   void UpstreamAnswered(TimePoint aNow,
                         ExecutionId aExecution,
-                        HttpResponse aResponse,
+                        const HttpResponse& aResponse,
                         Actions& aActions);
   void UpstreamFailed(TimePoint aNow,
                       ExecutionId aExecution,
@@ -118,7 +118,7 @@
 
   void StoreAnswered(TimePoint aNow,
                      StoreCallId aCall,
-                     StoreAnswer aAnswer,
+                     const StoreAnswer& aAnswer,
                      Actions& aActions);
 
   // -- Time and shutdown --
--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -78,7 +78,7 @@
                          Effects& aEffects);
   void UpstreamAnswered(TimePoint aNow,
                         ExecutionId aExecution,
-                        HttpResponse aResponse,
+                        const HttpResponse& aResponse,
                         Effects& aEffects);
   void UpstreamFailed(TimePoint aNow,
                       ExecutionId aExecution,
--- a/libs/node/src/NodeLogic.cpp
+++ b/libs/node/src/NodeLogic.cpp
@@ -161,7 +161,7 @@
 template<class Mutex>
 void
 NodeLogic<Mutex>::UpstreamAnnounced(TimePoint aNow,
-                                    Announcement aAnnouncement,
+                                    const Announcement& aAnnouncement,
                                     Actions& aActions)
 {
   mParts->Run(aNow,
@@ -176,15 +176,14 @@
 void
 NodeLogic<Mutex>::UpstreamAnswered(TimePoint aNow,
                                    ExecutionId aExecution,
-                                   HttpResponse aResponse,
+                                   const HttpResponse& aResponse,
                                    Actions& aActions)
 {
   mParts->Run(aNow,
               mParts->mTarget,
               aActions,
               [&](TargetLogic& aTarget, Effects& aEffects) {
-                aTarget.UpstreamAnswered(
-                  aNow, aExecution, std::move(aResponse), aEffects);
+                aTarget.UpstreamAnswered(aNow, aExecution, aResponse, aEffects);
               });
 }
 
@@ -207,7 +206,7 @@
 void
 NodeLogic<Mutex>::StoreAnswered(TimePoint aNow,
                                 StoreCallId aCall,
-                                StoreAnswer aAnswer,
+                                const StoreAnswer& aAnswer,
                                 Actions& aActions)
 {
   mParts->RunControl(aNow, aActions, [&](ControlLogic& aControl) {
--- a/libs/node/src/TargetEnd.cpp
+++ b/libs/node/src/TargetEnd.cpp
@@ -184,7 +184,7 @@
 void
 TargetLogic::UpstreamAnswered(TimePoint aNow,
                               ExecutionId aExecution,
-                              HttpResponse aResponse,
+                              const HttpResponse& aResponse,
                               Effects& aEffects)
 {
   Execution* execution = Find(aExecution);
--- a/libs/node/tests/ControlLogicTest.cpp
+++ b/libs/node/tests/ControlLogicTest.cpp
@@ -106,7 +106,8 @@
   CHECK_FALSE(readyWhileStale);
   CHECK(fleet.RunUntil(seconds(8), [&] { return fleet.IsAgreed(); }));
   // No one was accused by it: one change per node and member at most.
-  CHECK(fleet.CountAudit(AuditKind::MemberState) - deadBefore < 3 * 40);
+  CHECK(fleet.CountAudit(AuditKind::MemberState) - deadBefore <
+        size_t{ 3 } * 40);
   CheckViolations(fleet);
 }
 
@@ -380,6 +381,6 @@
   for (const auto& slot : fleet.Slots()) {
     after += slot.mStoreCalls;
   }
-  CHECK(after - before < 60 * 2);
+  CHECK(after - before < size_t{ 60 } * 2);
   CheckViolations(fleet);
 }
--- a/libs/node/tests/ControlScheduleTest.cpp
+++ b/libs/node/tests/ControlScheduleTest.cpp
@@ -75,7 +75,7 @@
       RestartSuperseded();
     }
     Heal();
-    if (const auto problem = CheckAgreement(); !problem.empty()) {
+    if (auto problem = CheckAgreement(); !problem.empty()) {
       return problem;
     }
     return mFleet.Violations().empty() ? "" : mFleet.Violations().front();
@@ -289,6 +289,7 @@
   for (uint64_t seed = first; seed < first + count; ++seed) {
     const auto problem = Schedule(seed).Run();
     INFO("seed " << seed);
-    CHECK(problem == "");
+    INFO(problem);
+    CHECK(problem.empty());
   }
 }
--- a/libs/node/tests/NodeFaultTest.cpp
+++ b/libs/node/tests/NodeFaultTest.cpp
@@ -72,7 +72,7 @@
 {
   const size_t call = aSim.AskKey(0, "book", "charge");
   aSim.RunFor(milliseconds(50));
-  const std::string key = AnswerOf(aSim, call).mIssuedKey;
+  std::string key = AnswerOf(aSim, call).mIssuedKey;
   REQUIRE_FALSE(key.empty());
   return key;
 }
--- a/libs/node/tests/Schedule.cpp
+++ b/libs/node/tests/Schedule.cpp
@@ -96,8 +96,7 @@
 }
 
 Schedule::Schedule(uint64_t aSeed, const FaultMix& aMix)
-  : mSeed(aSeed)
-  , mMix(aMix)
+  : mMix(aMix)
   , mSim(Fleet(aSeed))
   , mRng(aSeed + 1)
 {
@@ -331,7 +330,7 @@
     });
   }
   if (mMix.mPartition) {
-    Repeat(milliseconds(2000), [this, any] {
+    Repeat(milliseconds(2000), [this] {
       const bool isHealing = mRng.Uniform() < 0.4;
       for (size_t i = 0; i < mSim.Hosts().size(); ++i) {
         mSim.Partition(i, !isHealing && mRng.Uniform() < 0.4 ? 1 : 0);
--- a/libs/node/tests/Schedule.h
+++ b/libs/node/tests/Schedule.h
@@ -89,7 +89,6 @@
   [[nodiscard]] bool WasPaused(const Sent& aCall) const;
   void Violate(std::string aText);
 
-  uint64_t mSeed;
   FaultMix mMix;
   Sim mSim;
   Rng mRng;
--- a/libs/node/tests/TargetLogicTest.cpp
+++ b/libs/node/tests/TargetLogicTest.cpp
@@ -107,7 +107,7 @@
   StartUpstream Started()
   {
     REQUIRE(Of<StartUpstream>().size() == 1);
-    const StartUpstream start = Of<StartUpstream>()[0];
+    StartUpstream start = Of<StartUpstream>()[0];
     Clear();
     return start;
   }
