Ignore the end of an earlier connection to a peer

Cause: the event of a pipe closed for idleness can arrive after the next connection to the same peer was begun, and was taken for its loss; the waiting message was dropped and reported as lost. Seen once in the test 'idle connections are closed without a loss' while other tests loaded the machine. After: only a pipe of the current socket counts; 8 of 8 runs pass under load.

--- a/libs/server/src/PeerTransport.cpp
+++ b/libs/server/src/PeerTransport.cpp
@@ -390,13 +390,18 @@
 }
 
 void
-PeerTransport::OnPipeEvent(nng_pipe, nng_pipe_ev, void* aPeer)
+PeerTransport::OnPipeEvent(nng_pipe aPipe, nng_pipe_ev, void* aPeer)
 {
   auto& peer = *static_cast<Peer*>(aPeer);
   bool lost = false;
   {
     const std::scoped_lock lock(peer.mMutex);
-    lost = (peer.mState == State::Open || peer.mState == State::Connecting) &&
+    // The pipe of a connection closed for idleness may be reported after the
+    // next connection was begun, which it says nothing about.
+    const bool isCurrent =
+      nng_socket_id(nng_pipe_socket(aPipe)) == nng_socket_id(peer.mSocket);
+    lost = isCurrent &&
+           (peer.mState == State::Open || peer.mState == State::Connecting) &&
            peer.mOwner->BeginLossLocked(peer);
   }
   if (lost) {
--- a/libs/server/tests/PeerTransportTest.cpp
+++ b/libs/server/tests/PeerTransportTest.cpp
@@ -21,7 +21,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t length = sizeof(address);
-  bind(socket, reinterpret_cast<sockaddr*>(&address), length);
+  (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
   getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
   ::close(socket);
   return fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
@@ -238,12 +238,12 @@
   End a("a");
   End b("b");
   CallMessage call;
-  call.mHttp.mBody.assign(1000 * 1024, 'x');
+  call.mHttp.mBody.assign(size_t{ 1000 } * 1024, 'x');
   a.Send(b, call, Transport::Stream);
   REQUIRE(Eventually([&] { return b.GetArrived() == 1; }));
   CHECK(std::get<CallMessage>(b.mArrived[0].mMessage).mHttp.mBody.size() ==
-        1000 * 1024);
-  call.mHttp.mBody.assign(1100 * 1024, 'x');
+        size_t{ 1000 } * 1024);
+  call.mHttp.mBody.assign(size_t{ 1100 } * 1024, 'x');
   a.Send(b, call, Transport::Stream);
   CHECK(a.mTransport.GetCounters().mSendFailures == 1);
   a.Send(b, CancelCall{}, Transport::Stream);
--- a/libs/server/tests/TestSocket.h
+++ b/libs/server/tests/TestSocket.h
@@ -56,7 +56,7 @@
       if (head != std::string::npos) {
         size_t length = 0;
         if (const auto at = mBuffer.find("Content-Length: "); at < head) {
-          length = std::stoul(mBuffer.substr(at + 16));
+          length = std::stoul(mBuffer.substr(at + 16, 20));
         }
         if (mBuffer.size() >= head + 4 + length) {
           std::string answer = mBuffer.substr(0, head + 4 + length);
