Bound the usage reports by a budget of bytes

Cause: a report to each of 9 peers every 200 ms costs 9 to 27 KB/s, where a node may spend 9 KB/s on control in all. After: reports go out while calls wait, as often as 5.4 KB/s allow, with the 20 largest shares.

--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -186,7 +186,8 @@
   void UpdateGroup(TimePoint aNow, Effects& aEffects);
   void PublishUpstream(TimePoint aNow, std::string aCause, Effects& aEffects);
   void NoteRegime(TimePoint aNow, Effects& aEffects);
-  void ReportUsage(TimePoint aNow, Effects& aEffects);
+  /** @return how long to wait until the next report. */
+  Duration ReportUsage(TimePoint aNow, Effects& aEffects);
 
   Execution* Find(ExecutionId aExecution);
   void Step(const CallMessage& aCall,
@@ -220,6 +221,7 @@
   double mMeanRunSeconds = 0; ///< Of finished calls; 0 when unknown.
   LimitRegime mRegime = LimitRegime::WarmUp;
   TimePoint mNextUsage{};
+  TimePoint mLastContended{}; ///< When a call last had to wait for a slot.
   TimePoint mNextExpiry{};
   bool mDraining = false;
   bool mClosed = false;
--- a/libs/node/src/TargetAdmission.cpp
+++ b/libs/node/src/TargetAdmission.cpp
@@ -50,6 +50,7 @@
   const double rate = DrainRate(aNow);
   const double fill = mQueue->Fill(call.mImportance, rate);
   aExecution.mStage = ExecutionStage::Queued;
+  mLastContended = aNow;
   const AdmissionQueue::Verdict verdict =
     mQueue->Offer(aNow,
                   { .mExecution = id,
--- a/libs/node/src/TargetEnd.cpp
+++ b/libs/node/src/TargetEnd.cpp
@@ -11,6 +11,17 @@
 namespace {
 
 constexpr double kMeanRunWeight = 0.1;
+// Reports go out as often as this budget allows: about each 300 ms to 5 peers
+// with 6 shares, and each second to 9 peers with 20. A node may spend 9 KB/s on
+// control in all.
+constexpr double kUsageBytesPerSecond = 5400;
+constexpr Duration kUsageInterval = milliseconds(200);
+constexpr size_t kReportBytes = 200; ///< Envelope, TCP and IP headers.
+constexpr size_t kShareBytes = 24;
+constexpr Duration kContendedTime = seconds(2);
+// The parties that attained most decide on the shares; the others are served
+// first in any case. Keeps a report within about 0.6 KB.
+constexpr ptrdiff_t kMaxShares = 20;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
@@ -455,18 +466,35 @@
   }
 }
 
-void
+Duration
 TargetLogic::ReportUsage(TimePoint aNow, Effects& aEffects)
 {
   if (mOptions.mPolicyOff || mUpstream.State(aNow) == UpstreamState::Unknown) {
-    return;
+    return kUsageInterval;
+  }
+  // Shares matter only while calls compete for slots.
+  if (aNow - mLastContended > kContendedTime) {
+    return kUsageInterval;
   }
   auto shares = mUsage.LocalShares(aNow);
+  if (std::ssize(shares) > kMaxShares) {
+    std::partial_sort(shares.begin(),
+                      shares.begin() + kMaxShares,
+                      shares.end(),
+                      [](const PartyShare& aLeft, const PartyShare& aRight) {
+                        return aLeft.mAttainedSeconds > aRight.mAttainedSeconds;
+                      });
+    shares.resize(kMaxShares);
+  }
+  const size_t bytes =
+    mGroup.Nodes().size() * (kReportBytes + kShareBytes * shares.size());
   if (!shares.empty()) {
     SendToService(UsageReport{ .mService = mUpstream.Last().mService,
                                .mShares = std::move(shares) },
                   aEffects);
   }
+  return std::max(kUsageInterval,
+                  FromSeconds(double(bytes) / kUsageBytesPerSecond));
 }
 
 } // namespace amaranthgap
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -7,7 +7,6 @@
 namespace amaranthgap {
 namespace {
 
-constexpr Duration kUsageInterval = milliseconds(200); // Section 8.2.
 constexpr Duration kExpiryInterval = seconds(1);
 // The quarantine lasts minutes; a caller learns that an early return is of no
 // use, but also of an end by an operator within a minute.
@@ -428,8 +427,7 @@
   StartNext(aNow, aEffects);
   NoteRegime(aNow, aEffects);
   if (aNow >= mNextUsage) {
-    mNextUsage = aNow + kUsageInterval;
-    ReportUsage(aNow, aEffects);
+    mNextUsage = aNow + ReportUsage(aNow, aEffects);
   }
   if (aNow >= mNextExpiry) {
     mNextExpiry = aNow + kExpiryInterval;
