--- a/libs/node/tests/ControlFleet.h
+++ b/libs/node/tests/ControlFleet.h
@@ -403,9 +403,9 @@
     for (auto& action : aActions) {
       if (auto* send = std::get_if<SendMessage>(&action)) {
         Transmit(aSlot, std::move(*send));
-      } else if (auto* call = std::get_if<StartStoreCall>(&action)) {
+      } else if (const auto* call = std::get_if<StartStoreCall>(&action)) {
         ++slot.mStoreCalls;
-        CallStore(aSlot, call->mCall, std::move(call->mRequest));
+        CallStore(aSlot, call->mCall, call->mRequest);
       } else if (auto* entry = std::get_if<AuditEntry>(&action)) {
         if (mTrace) {
           std::fprintf(stderr,
--- a/libs/server/src/NodeProcess.cpp
+++ b/libs/server/src/NodeProcess.cpp
@@ -82,27 +82,25 @@
   , mLogic(MakeNodeOptions(mSettings, mFirstSelf))
   , mAudit(4096)
   , mTransport(MakeTransportOptions(), MakeTransportHooks())
-  , mUpstream({ .mMaxCalls = mSettings.mMaxUpstreamCalls },
-              [this](ExecutionId aExecution,
-                     UpstreamClient::Outcome aOutcome,
-                     Duration aTime) {
-                mMetrics.Observe(Latency::Upstream, aTime);
-                Dispatch(Latency::HandleEnd, [&](auto aNow, auto& aActions) {
-                  if (auto* answer = std::get_if<HttpResponse>(&aOutcome)) {
-                    mLogic.UpstreamAnswered(
-                      aNow, aExecution, std::move(*answer), aActions);
-                  } else {
-                    mLogic.UpstreamFailed(aNow,
-                                          aExecution,
-                                          std::get<UpstreamFailure>(aOutcome),
-                                          aActions);
-                  }
-                });
-              })
+  , mUpstream(
+      { .mMaxCalls = mSettings.mMaxUpstreamCalls },
+      [this](ExecutionId aExecution,
+             const UpstreamClient::Outcome& aOutcome,
+             Duration aTime) {
+        mMetrics.Observe(Latency::Upstream, aTime);
+        Dispatch(Latency::HandleEnd, [&](auto aNow, auto& aActions) {
+          if (const auto* answer = std::get_if<HttpResponse>(&aOutcome)) {
+            mLogic.UpstreamAnswered(aNow, aExecution, *answer, aActions);
+          } else {
+            mLogic.UpstreamFailed(
+              aNow, aExecution, std::get<UpstreamFailure>(aOutcome), aActions);
+          }
+        });
+      })
   , mStore(std::move(aStore),
-           [this](StoreCallId aCall, StoreAnswer aAnswer) {
+           [this](StoreCallId aCall, const StoreAnswer& aAnswer) {
              Dispatch([&](auto aNow, auto& aActions) {
-               mLogic.StoreAnswered(aNow, aCall, std::move(aAnswer), aActions);
+               mLogic.StoreAnswered(aNow, aCall, aAnswer, aActions);
              });
            })
   , mServer(CallerServer::MakeOptions(mSettings), MakeServerHooks(), mMetrics)
@@ -198,9 +196,9 @@
         });
       },
     .mAnnounced =
-      [this](Announcement aAnnouncement) {
+      [this](const Announcement& aAnnouncement) {
         Dispatch([&](auto aNow, auto& aActions) {
-          mLogic.UpstreamAnnounced(aNow, std::move(aAnnouncement), aActions);
+          mLogic.UpstreamAnnounced(aNow, aAnnouncement, aActions);
         });
       },
     .mOperator =
