--- a/libs/node/include/node/EntryLogic.h
+++ b/libs/node/include/node/EntryLogic.h
@@ -133,6 +133,8 @@
                   EntryCall& aCall,
                   bool aNeverSent,
                   Effects& aEffects);
+  /** Tells the target of the present attempt to stop it. */
+  void CancelAttempt(TimePoint aNow, const EntryCall& aCall, Effects& aEffects);
   void Cancel(TimePoint aNow, EntryCall& aCall, Effects& aEffects);
   void Woken(TimePoint aNow, EntryCall& aCall, Effects& aEffects);
   void Expired(TimePoint aNow, EntryCall& aCall, Effects& aEffects);
--- a/libs/node/src/EntryAttempts.cpp
+++ b/libs/node/src/EntryAttempts.cpp
@@ -379,15 +379,23 @@
   }
 }
 
+void
+EntryLogic::CancelAttempt(TimePoint aNow,
+                          const EntryCall& aCall,
+                          Effects& aEffects)
+{
+  mRoutes.RouterOf(aNow, aCall.mService).Abandoned(aNow, aCall.mTarget);
+  aEffects.mActions.emplace_back(
+    SendMessage{ .mTo = aCall.mTarget,
+                 .mAddress = aCall.mTargetAddress,
+                 .mMessage = CancelCall{ .mCall = aCall.mId } });
+}
+
 void
 EntryLogic::Cancel(TimePoint aNow, EntryCall& aCall, Effects& aEffects)
 {
   if (aCall.mStage == EntryStage::Calling) {
-    mRoutes.RouterOf(aNow, aCall.mService).Abandoned(aNow, aCall.mTarget);
-    aEffects.mActions.emplace_back(
-      SendMessage{ .mTo = aCall.mTarget,
-                   .mAddress = aCall.mTargetAddress,
-                   .mMessage = CancelCall{ .mCall = aCall.mId } });
+    CancelAttempt(aNow, aCall, aEffects);
   }
   Finish(aNow,
          aCall,
@@ -426,11 +434,7 @@
 {
   if (aCall.mStage == EntryStage::Calling) {
     aCall.mMayHaveRun = true;
-    mRoutes.RouterOf(aNow, aCall.mService).Abandoned(aNow, aCall.mTarget);
-    aEffects.mActions.emplace_back(
-      SendMessage{ .mTo = aCall.mTarget,
-                   .mAddress = aCall.mTargetAddress,
-                   .mMessage = CancelCall{ .mCall = aCall.mId } });
+    CancelAttempt(aNow, aCall, aEffects);
   }
   aCall.mMayHaveRun |= IsUnsureOfKey(aCall);
   aCall.mLastReason = Reason::DeadlineExpired;
