--- a/libs/server/include/server/HttpConnection.h
+++ b/libs/server/include/server/HttpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -70,9 +71,12 @@
   bool mCloseAfter = false; ///< Whether the present answer is the last.
   bool mIsHead = false;     ///< The present request is a HEAD request.
 
+  /** End of the present state; not applied while serving. Read without the
+   * mutex, so that a sweep over idle connections takes no lock for each. */
+  std::atomic<TimePoint> mDeadline{ TimePoint{} };
+
   std::mutex mMutex; ///< Guards the members below.
   State mState = State::Idle;
-  TimePoint mDeadline{}; ///< End of the present state; none while serving.
   bool mTimedOut = false;
   bool mHeld = false;
   bool mAgain = false; ///< An event came while the connection was held.
--- a/libs/server/src/HttpListener.cpp
+++ b/libs/server/src/HttpListener.cpp
@@ -157,9 +157,12 @@
 {
   const std::scoped_lock lock(mMutex);
   for (const auto& [id, connection] : mConnections) {
+    if (connection->mDeadline.load() >= aNow) {
+      continue;
+    }
     const std::scoped_lock inner(connection->mMutex);
     if (connection->mState != HttpConnection::State::Serving &&
-        !connection->mTimedOut && connection->mDeadline < aNow) {
+        !connection->mTimedOut && connection->mDeadline.load() < aNow) {
       // The worker that is woken by this answers and closes.
       connection->mTimedOut = true;
       ::shutdown(connection->mSocket,
