Send Retry-After only where waiting helps

Cause: refusals with 400 to 422 carried a Retry-After, although the request itself is at fault or a repeat is wanted at once (409). Now 429, 503 and 504 carry it. The table test of all refusals checks both the presence and the absence; it failed for six rows before it was changed. After: build/server_tests, 33 test cases pass.

--- a/libs/server/src/CallerInterface.cpp
+++ b/libs/server/src/CallerInterface.cpp
@@ -62,7 +62,11 @@
 void
 AddRetryAfter(HttpResponse& aResponse, Duration aRetryAfter)
 {
-  if (aRetryAfter <= Duration::zero()) {
+  // The other statuses report a fault of the request, which waiting does not
+  // mend, or ask for a repeat at once.
+  const bool helps = aResponse.mStatus == 429 || aResponse.mStatus == 503 ||
+                     aResponse.mStatus == 504;
+  if (!helps || aRetryAfter <= Duration::zero()) {
     return;
   }
   const int64_t ms = std::max<int64_t>(1, ToMillis(aRetryAfter));
