Let a started keyed execution outlive its caller

Cause: the cancellation of a caller that left cut off a running non-idempotent execution. Its key then answered may-have-run for good, and nobody could say whether the booking was made. A started execution with a key now runs on up to its deadline, and sending the key again joins it or gets the stored answer. It still holds its slot, so the limit counts it. Queued ones are withdrawn as before.

--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -222,7 +222,11 @@
   std::erase_if(execution.mWaiters, [&](const ReplyAddress& aWaiter) {
     return aWaiter.mNode == aFrom && aWaiter.mCall == aCancel.mCall;
   });
-  if (execution.mWaiters.empty()) {
+  // A keyed execution that has started runs on, up to its deadline, so that the
+  // caller who sends the key again gets the answer instead of MayHaveRun.
+  const bool isKept =
+    execution.mIssued && execution.mStage == ExecutionStage::Running;
+  if (execution.mWaiters.empty() && !isKept) {
     Cancel(aNow, execution, aEffects);
   }
 }
--- a/libs/node/tests/TargetLogicTest.cpp
+++ b/libs/node/tests/TargetLogicTest.cpp
@@ -199,6 +199,49 @@
   CHECK(fixture.Replies().empty());
 }
 
+// Guards against a started booking that is cut off because its caller left, so
+// that nobody can say whether it was made.
+TEST_CASE("a keyed execution outlives its caller", "[target]")
+{
+  Fixture fixture;
+  const std::string key = fixture.Key();
+  fixture.Call(1, kStart, key);
+  const StartUpstream start = fixture.Started();
+  fixture.mLogic.PeerCancel(
+    kStart, kEntry, { .mCall = { 1 } }, fixture.mEffects);
+  CHECK(fixture.Of<CancelUpstream>().empty());
+  SECTION("sent again while it runs")
+  {
+    fixture.Call(2, kStart, key);
+    CHECK(fixture.Of<StartUpstream>().empty());
+    fixture.mLogic.UpstreamAnswered(
+      kStart, start.mExecution, kAnswer, fixture.mEffects);
+  }
+  SECTION("sent again after its end")
+  {
+    fixture.mLogic.UpstreamAnswered(
+      kStart, start.mExecution, kAnswer, fixture.mEffects);
+    CHECK(fixture.Replies().empty());
+    fixture.Call(2, kStart, key);
+  }
+  SECTION("not ended by the deadline")
+  {
+    fixture.mLogic.Tick(kStart + milliseconds(1100), fixture.mEffects);
+    CHECK(fixture.Of<CancelUpstream>().size() == 1);
+    fixture.Call(2, kStart + milliseconds(1100), key);
+    fixture.mLogic.UpstreamFailed(kStart + milliseconds(1101),
+                                  start.mExecution,
+                                  UpstreamFailure::ConnectionLost,
+                                  fixture.mEffects);
+    REQUIRE(fixture.Replies().size() == 1);
+    CHECK(fixture.Replies()[0].mOutcome == Outcome::MayHaveRun);
+    return;
+  }
+  REQUIRE(fixture.Replies().size() == 1);
+  CHECK(fixture.Replies()[0].mOutcome == Outcome::Answered);
+  CHECK(fixture.Replies()[0].mHttp.mBody == kAnswer.mBody);
+}
+
 TEST_CASE("results of the upstream become honest outcomes", "[target]")
 {
   struct Case
