Keep a target available after a reply from another thread

Cause: 0.1 to 0.4% of the calls through one node at 2,000/s were refused as no-target without an overload. A reply set the end of the backoff of its target to its own time; a call that another thread had decided on with a slightly earlier time then found its only target in backoff. With several targets the fault skipped near ones.

--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -310,7 +310,9 @@
   target->mHasLoad = true;
   target->mLeaving = target->mLeaving || aLoad.mLeaving;
   target->mBackoff = Duration::zero();
-  target->mBackoffUntil = aNow;
+  // Not the time of the reply: a call decided on another thread may carry a
+  // slightly earlier time, and would find its only target in backoff.
+  target->mBackoffUntil = TimePoint{};
   target->mOnTrial = false;
   CountReply(aNow, *target, aRefused);
 }
--- a/libs/routing/tests/RouterTest.cpp
+++ b/libs/routing/tests/RouterTest.cpp
@@ -230,6 +230,19 @@
 
 // Guards against a service that stays lost for the longest backoff after the
 // network has healed.
+// Guards against a call without a target because a reply on another thread was
+// handled first, at a later time.
+TEST_CASE("a reply does not put its target in backoff", "[router]")
+{
+  Router router = EastRouter({ Member("a1", "east", "e1") });
+  LinkBudget link = Link(0);
+  router.Started(kStart, Member("a1", "east", "e1").mNode);
+  router.Started(kStart, Member("a1", "east", "e1").mNode);
+  router.Replied(
+    kStart + milliseconds(1), Member("a1", "east", "e1").mNode, kIdle, false);
+  CHECK(router.Choose(kStart, {}, link));
+}
+
 TEST_CASE("without other targets, failed ones are tried one by one", "[router]")
 {
   auto router =
