Steer the entry throttle harder at the ends of the queue

Cause: one small gain for the whole range of pressure. After a cut the queue was empty for seconds while the rate returned by 2% a second, and near overflow the rate was left to refusals, which cut it by more than needed. Now the rate returns 8 times as fast while the queue is almost empty, and an additional term lowers it from 60% fill. Goodput is averaged over 20 calls.

--- a/libs/overload/src/EntryThrottle.cpp
+++ b/libs/overload/src/EntryThrottle.cpp
@@ -23,9 +23,17 @@
 // overflows. A queue of 50 ms reacts to the rate within the time that a reply
 // takes to return; a gain above 0.1 makes the rate swing with replies 250 ms
 // old.
-constexpr double kIntended = 0.45;
+constexpr double kIntended = 0.42;
 constexpr double kGain = 0.1;
 constexpr double kBaseGain = 0.004;
+// A queue that is almost empty cannot show how far the rate is below the
+// capacity; after a cut the small gain took seconds to return to it.
+constexpr double kNearlyEmpty = 0.12;
+constexpr double kEmptyBaseGain = 0.032;
+// A queue that is filling up is relieved before it overflows; refusals cut the
+// rate by more than was needed.
+constexpr double kNearlyFull = 0.6;
+constexpr double kFullGain = 0.3;
 
 // Below this pressure the queue is empty; after some steps the throttle opens.
 constexpr double kEmpty = 0.02;
@@ -189,7 +197,7 @@
                      (arrived - aStream.mDemand);
   // Longer for streams of few calls, whose rate is not known sooner.
   const double memory =
-    std::clamp(10 / std::max(aStream.mDemand, 0.1), 0.3, 5.0);
+    std::clamp(20 / std::max(aStream.mDemand, 0.1), 0.3, 8.0);
   aStream.mGoodput += (1 - std::exp(-length / memory)) *
                       (aStream.mGood / length - aStream.mGoodput);
   if (aNow - aStream.mLastReply > kMaxJudged) {
@@ -243,7 +251,8 @@
     aStream.mCalm = 0;
     aStream.mUnproven = 0;
     aStream.mKnown = aStream.mBase;
-    aStream.mBase *= 1 + kBaseGain * (kIntended - pressure);
+    const double gain = pressure < kNearlyEmpty ? kEmptyBaseGain : kBaseGain;
+    aStream.mBase *= 1 + gain * (kIntended - pressure);
   } else {
     // A stream of few calls makes up for the steps between them.
     const TimePoint since = isSilent ? view.mTime + patience : view.mCalmSince;
@@ -258,7 +267,9 @@
     aStream.mThrottled = false;
   }
   aStream.mBase = std::clamp(aStream.mBase, kMinRate, 1.5 * demand + 1);
-  aStream.mRate = aStream.mBase * (1 + kGain * (kIntended - pressure));
+  aStream.mRate =
+    aStream.mBase * (1 + kGain * (kIntended - pressure) -
+                     kFullGain * std::max(0.0, pressure - kNearlyFull));
 }
 
 double
