Write upstream requests on the thread that starts them

Cause: each request was handed to a worker before a byte of it was written, so that the upstream waited for the wake-up of a thread, and the answer buffer of 16 KB was cleared for each exchange. Requests on a pooled connection are now written at once, as far as the socket takes them; a worker connects where needed and waits for the answer.

--- a/libs/server/include/server/UpstreamClient.h
+++ b/libs/server/include/server/UpstreamClient.h
@@ -77,6 +77,12 @@
   Outcome Exchange(const StartUpstream& aCall,
                    const CallPtr& aState,
                    TimePoint aStart);
+  bool Send(const StartUpstream& aCall,
+            Call& aState,
+            ConnectionPtr aConnection,
+            TimePoint aDeadline);
+  static ConnectionPtr Connect(const std::string& aAddress,
+                               TimePoint aDeadline);
   ConnectionPtr TakeIdle(const std::string& aAddress);
   void PutIdle(const std::string& aAddress, ConnectionPtr aConnection);
 
--- a/libs/server/src/UpstreamClient.cpp
+++ b/libs/server/src/UpstreamClient.cpp
@@ -40,6 +40,11 @@
   auto state = std::make_shared<Call>();
   mCalls.insert({ aCall.mExecution.mValue, state });
   const auto now = std::chrono::steady_clock::now();
+  // Written on this thread, so that the upstream does not wait for a worker to
+  // wake up. Connecting would block.
+  if (auto connection = TakeIdle(aCall.mAddress)) {
+    Send(aCall, *state, std::move(connection), now + aCall.mTimeout);
+  }
   mPool.Submit(
     [this, call = std::move(aCall), state, now] { Run(call, state, now); });
 }
@@ -91,45 +96,62 @@
         std::chrono::steady_clock::now() - aStart);
 }
 
+UpstreamClient::ConnectionPtr
+UpstreamClient::Connect(const std::string& aAddress, TimePoint aDeadline)
+{
+  std::string host;
+  int port = 0;
+  if (!SplitAddress(aAddress, host, port)) {
+    return nullptr;
+  }
+  auto connection = std::make_shared<UpstreamConnection>(host, port);
+  return connection->Connect(aDeadline) ? connection : nullptr;
+}
+
+// Returns whether the request was begun; it is not after a cancellation or the
+// deadline.
+bool
+UpstreamClient::Send(const StartUpstream& aCall,
+                     Call& aState,
+                     ConnectionPtr aConnection,
+                     TimePoint aDeadline)
+{
+  const auto left = aDeadline - std::chrono::steady_clock::now();
+  const std::scoped_lock lock(aState.mMutex);
+  if (aState.mCancelled || left <= Duration::zero()) {
+    PutIdle(aCall.mAddress, std::move(aConnection));
+    return false;
+  }
+  HttpRequest request = aCall.mHttp;
+  request.mHeaders.emplace_back("Amaranthgap-Context", aCall.mContext);
+  request.mHeaders.emplace_back("X-Request-Id", aCall.mRequest.mValue);
+  request.mHeaders.emplace_back("Amaranthgap-Timeout-Ms",
+                                std::to_string(ToMillis(left)));
+  request.mHeaders.emplace_back("Host", aCall.mAddress);
+  aConnection->Send(request, aDeadline);
+  aState.mConnection = std::move(aConnection);
+  return true;
+}
+
 UpstreamClient::Outcome
 UpstreamClient::Exchange(const StartUpstream& aCall,
                          const CallPtr& aState,
                          TimePoint aStart)
 {
-  const TimePoint deadline = aStart + aCall.mTimeout;
-  ConnectionPtr connection = TakeIdle(aCall.mAddress);
-  if (!connection) {
-    std::string host;
-    int port = 0;
-    if (!SplitAddress(aCall.mAddress, host, port)) {
-      return UpstreamFailure::NotConnected;
-    }
-    connection = std::make_shared<UpstreamConnection>(host, port);
-    if (!connection->Connect(
-          std::min(deadline, aStart + mOptions.mConnectTimeout))) {
-      return UpstreamFailure::NotConnected;
-    }
-  }
+  ConnectionPtr connection;
   {
     const std::scoped_lock lock(aState->mMutex);
-    if (aState->mCancelled) {
-      PutIdle(aCall.mAddress, std::move(connection));
+    connection = aState->mConnection;
+  }
+  if (!connection) {
+    const TimePoint deadline = aStart + aCall.mTimeout;
+    connection = Connect(aCall.mAddress,
+                         std::min(deadline, aStart + mOptions.mConnectTimeout));
+    if (!connection || !Send(aCall, *aState, connection, deadline)) {
       return UpstreamFailure::NotConnected;
     }
-    aState->mConnection = connection;
-  }
-  const auto left = deadline - std::chrono::steady_clock::now();
-  if (left <= Duration::zero()) {
-    return UpstreamFailure::NotConnected;
   }
-  HttpRequest request = aCall.mHttp;
-  request.mHeaders.emplace_back("Amaranthgap-Context", aCall.mContext);
-  request.mHeaders.emplace_back("X-Request-Id", aCall.mRequest.mValue);
-  request.mHeaders.emplace_back("Amaranthgap-Timeout-Ms",
-                                std::to_string(ToMillis(left)));
-  request.mHeaders.emplace_back("Host", aCall.mAddress);
-  Outcome outcome =
-    connection->Exchange(request, deadline, mOptions.mMaxAnswerBytes);
+  Outcome outcome = connection->Receive(mOptions.mMaxAnswerBytes);
   {
     const std::scoped_lock lock(aState->mMutex);
     aState->mConnection = nullptr;
--- a/libs/server/src/UpstreamConnection.cpp
+++ b/libs/server/src/UpstreamConnection.cpp
@@ -41,15 +41,36 @@
 
 } // namespace
 
-/** Bytes of one exchange, with its deadline. Requests are collected and sent in
- * one piece with the start of reading. Keeps the raw head of the answer, since
- * the library decodes percent signs in header values. */
+/** Takes the bytes of a request and has no answer. */
+class UpstreamConnection::RequestStream : public httplib::Stream
+{
+public:
+  bool is_readable() const override { return true; }
+  bool is_writable() const override { return true; }
+  void get_remote_ip_and_port(std::string&, int&) const override {}
+  void get_local_ip_and_port(std::string&, int&) const override {}
+  socket_t socket() const override { return -1; }
+
+  ssize_t read(char*, size_t) override { return -1; }
+  ssize_t write(const char* aData, size_t aSize) override
+  {
+    mBytes.append(aData, aSize);
+    return ssize_t(aSize);
+  }
+
+  std::string mBytes;
+};
+
+/** Bytes of one exchange, with its deadline; the request has been rendered
+ * before. Keeps the raw head of the answer, since the library decodes percent
+ * signs in header values. */
 class UpstreamConnection::SocketStream : public httplib::Stream
 {
 public:
-  SocketStream(int aSocket, TimePoint aDeadline)
+  SocketStream(int aSocket, TimePoint aDeadline, std::string aRequest)
     : mSocket(aSocket)
     , mDeadline(aDeadline)
+    , mRequest(std::move(aRequest))
   {
   }
 
@@ -59,11 +80,8 @@
   void get_local_ip_and_port(std::string&, int&) const override {}
   socket_t socket() const override { return -1; }
 
-  ssize_t write(const char* aData, size_t aSize) override
-  {
-    mRequest.append(aData, aSize);
-    return ssize_t(aSize);
-  }
+  // What the library writes has been sent by SendAvailable and Flush.
+  ssize_t write(const char*, size_t aSize) override { return ssize_t(aSize); }
 
   ssize_t read(char* aData, size_t aSize) override
   {
@@ -93,8 +111,8 @@
   size_t mSent = 0;
   size_t mReceived = 0;
 
-private:
-  bool Flush()
+  /** @return false when the connection is broken. */
+  bool SendAvailable()
   {
     while (mSent < mRequest.size()) {
       const ssize_t n = ::send(mSocket,
@@ -104,10 +122,7 @@
       if (n >= 0) {
         mSent += size_t(n);
       } else if (errno == EAGAIN) {
-        if (!WaitFor(mSocket, POLLOUT, mDeadline)) {
-          mTimedOut = true;
-          return false;
-        }
+        return true;
       } else if (errno != EINTR) {
         return false;
       }
@@ -115,6 +130,21 @@
     return true;
   }
 
+private:
+  bool Flush()
+  {
+    while (mSent < mRequest.size()) {
+      if (!SendAvailable()) {
+        return false;
+      }
+      if (mSent < mRequest.size() && !WaitFor(mSocket, POLLOUT, mDeadline)) {
+        mTimedOut = true;
+        return false;
+      }
+    }
+    return true;
+  }
+
   bool Fill()
   {
     while (true) {
@@ -144,7 +174,7 @@
   int mSocket;
   TimePoint mDeadline;
   std::string mRequest;
-  std::array<char, size_t(16) * 1024> mBuffer{};
+  std::array<char, size_t(16) * 1024> mBuffer; // NOLINT: filled by recv
   size_t mTaken = 0;
   size_t mFilled = 0;
 };
@@ -212,13 +242,9 @@
          aResponse.has_header("Transfer-Encoding");
 }
 
-UpstreamConnection::Outcome
-UpstreamConnection::Exchange(const HttpRequest& aRequest,
-                             TimePoint aDeadline,
-                             size_t aMaxAnswer)
+std::string
+UpstreamConnection::Render(const HttpRequest& aRequest)
 {
-  mReusable = false;
-  SocketStream stream(mSocket, aDeadline);
   httplib::Request request;
   request.method = aRequest.mMethod;
   request.path = aRequest.mPath;
@@ -226,6 +252,32 @@
   for (const auto& [name, value] : aRequest.mHeaders) {
     request.headers.emplace(name, value);
   }
+  RequestStream stream;
+  httplib::Response none;
+  httplib::Error error = httplib::Error::Success;
+  process_request(stream, request, none, false, error);
+  return std::move(stream.mBytes);
+}
+
+void
+UpstreamConnection::Send(const HttpRequest& aRequest, TimePoint aDeadline)
+{
+  mReusable = false;
+  mMethod = aRequest.mMethod;
+  mStream =
+    std::make_unique<SocketStream>(mSocket, aDeadline, Render(aRequest));
+  // Receive meets the same error again.
+  mStream->SendAvailable();
+}
+
+UpstreamConnection::Outcome
+UpstreamConnection::Receive(size_t aMaxAnswer)
+{
+  const auto held = std::move(mStream);
+  SocketStream& stream = *held;
+  httplib::Request request;
+  request.method = mMethod;
+  request.path.push_back('/');
   bool framed = true;
   bool bodyless = false;
   // Called between head and body.
--- a/libs/server/src/UpstreamConnection.h
+++ b/libs/server/src/UpstreamConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -28,9 +29,10 @@
   bool Connect(TimePoint aDeadline);
   /** @return whether the peer has neither closed nor sent anything. */
   [[nodiscard]] bool IsFresh() const;
-  Outcome Exchange(const HttpRequest& aRequest,
-                   TimePoint aDeadline,
-                   size_t aMaxAnswer);
+  /** Begins an exchange and writes what the socket takes without waiting. */
+  void Send(const HttpRequest& aRequest, TimePoint aDeadline);
+  /** Writes the rest of the request that was sent last and reads its answer. */
+  Outcome Receive(size_t aMaxAnswer);
   /** @return whether another request may follow on the connection. */
   [[nodiscard]] bool IsReusable() const { return mReusable; }
   /** Ends a running exchange from any thread. */
@@ -39,15 +41,19 @@
   TimePoint mIdleSince{};
 
 private:
+  class RequestStream;
   class SocketStream;
 
   static bool HasFraming(const httplib::Request& aRequest,
                          const httplib::Response& aResponse);
+  std::string Render(const HttpRequest& aRequest);
 
   std::string mHost;
   int mPort;
   int mSocket = -1;
   bool mReusable = false;
+  std::string mMethod; ///< Of the exchange under way, like the stream.
+  std::unique_ptr<SocketStream> mStream;
 };
 
 } // namespace amaranthgap
