Report wasted work after the first two seconds as well

A run of 6 s begins with a surge out of nothing; its first refusals are counted like those of the steady state. The new figure leaves the requests of the first 2 s out; the old one stays.

--- a/bench/run.py
+++ b/bench/run.py
@@ -39,11 +39,14 @@
     deployment.fleet.reset_upstreams()
 
 
-def wasted_share(work, ids):
+def wasted_share(work, ids, first=0):
     """Share of the upstreams' own work, without the time spent waiting for
-    child calls, that was done for requests that failed."""
+    child calls, that was done for requests that failed. Counts the requests
+    from number `first` on, in order of arrival."""
     total = wasted = 0
     for _, entry in work:
+        if int(entry["request"].rsplit("-", 1)[1]) < first:
+            continue
         total += entry["own_us"]
         if ids.get(entry["request"]) != "ok":
             wasted += entry["own_us"]
@@ -73,6 +76,8 @@
         out[f"of_nominal_{factor}x"] = (
             result["goodput_per_s"] / deployment.capacity)
         out[f"wasted_{factor}x"] = wasted_share(work, ids)
+        out[f"wasted_after_2s_{factor}x"] = wasted_share(
+            work, ids, WARM_UP_S * factor * deployment.capacity)
         out[f"p99_ms_{factor}x"] = result["latency_ms"].get("p99", 0)
         out[f"late_p99_ms_{factor}x"] = result["client_lateness_ms"]["p99"]
         out[f"tries_per_request_{factor}x"] = (
