Report the pressure of the attempt that was served

Cause: a call that one target refused and another served reported the pressure of the refusal to its parent. The root node then held the whole tree back, although the service had room. At 1x the entry throttle is still what loses the rest. build/node_tests passes with 200 call and 20 control schedules.

--- a/libs/node/src/EntryAttempts.cpp
+++ b/libs/node/src/EntryAttempts.cpp
@@ -177,7 +177,9 @@
   } else {
     router.Replied(aNow, aCall.mTarget, aReply.mLoad, isRefused);
   }
-  aCall.mPressure = std::max(aCall.mPressure, aReply.mPressure);
+  // Of the last attempt: a call refused by one target and served by another met
+  // the load of the latter.
+  aCall.mPressure = aReply.mPressure;
   aCall.mTouchedOnce |= aReply.mTouchedOnce;
   aCall.mRetryAfterMs = std::max(aCall.mRetryAfterMs, aReply.mRetryAfterMs);
   aCall.mFreshKey = aReply.mIssuedKey;
