--- a/libs/node/include/node/Actions.h
+++ b/libs/node/include/node/Actions.h
@@ -99,6 +99,7 @@
   RequestId mRequest;
   Duration mTimeout{};
   HttpRequest mHttp;
+  Duration mQueued{}; ///< From the arrival of the call to its start.
 };
 
 struct CancelUpstream
--- a/libs/node/src/TargetAdmission.cpp
+++ b/libs/node/src/TargetAdmission.cpp
@@ -144,7 +144,8 @@
                    .mContext = aExecution.mContext,
                    .mRequest = aExecution.mCall.mRequest,
                    .mTimeout = aExecution.mDeadline - aNow,
-                   .mHttp = aExecution.mCall.mHttp });
+                   .mHttp = aExecution.mCall.mHttp,
+                   .mQueued = aNow - aExecution.mArrived });
   aEffects.Count("upstream_calls");
   Step(aExecution.mCall,
        aExecution.mWaiters.empty() ? NodeRef{}
--- a/libs/server/include/server/Metrics.h
+++ b/libs/server/include/server/Metrics.h
@@ -21,6 +21,7 @@
 {
   Call,        ///< Request of a caller, from its last byte to the answer.
   Upstream,    ///< Call to the upstream.
+  Queue,       ///< Wait of a call for a slot of the upstream.
   HandleCall,  ///< Work of this node on the way to the target.
   HandleReply, ///< Work of this node on a reply, until the answer is handed on.
   HandleRun,   ///< Work of the target node from the message to the start.
@@ -33,6 +34,7 @@
   static constexpr std::array kNames{
     std::pair{ Latency::Call, std::string_view{ "call" } },
     std::pair{ Latency::Upstream, std::string_view{ "upstream" } },
+    std::pair{ Latency::Queue, std::string_view{ "queue" } },
     std::pair{ Latency::HandleCall, std::string_view{ "handle_call" } },
     std::pair{ Latency::HandleReply, std::string_view{ "handle_reply" } },
     std::pair{ Latency::HandleRun, std::string_view{ "handle_run" } },
--- a/libs/server/src/NodeProcess.cpp
+++ b/libs/server/src/NodeProcess.cpp
@@ -253,6 +253,7 @@
     } else if (auto* answer = std::get_if<AnswerCaller>(&action)) {
       mServer.Answer(std::move(*answer));
     } else if (auto* start = std::get_if<StartUpstream>(&action)) {
+      mMetrics.Observe(Latency::Queue, start->mQueued);
       mUpstream.Start(std::move(*start));
     } else if (const auto* cancel = std::get_if<CancelUpstream>(&action)) {
       mUpstream.Cancel(cancel->mExecution);
