Check shedding order and shares in the random schedules

Before: 1,000 schedules passed without a look at the waiting calls.

After: a node tells the waiting calls of its target by importance and party (GetQueue). After each event, the simulation checks for each call refused for load or evicted that no call of lower importance waits, and that no other party of its importance would attain more; and for each start that no more important call that can meet its deadline waits. The service of a party counts its waiting calls, since the queue evicts the last call in order. Calls that a node sends to its own upstream count as waiting, but their refusals are not seen.

--- a/libs/node/include/node/NodeLogic.h
+++ b/libs/node/include/node/NodeLogic.h
@@ -54,6 +54,8 @@
   std::vector<MemberUpdate> mMembers;
 };
 
+struct QueueView;
+
 /** One thing that happened to a request at this node. */
 struct ExplainStep
 {
@@ -137,6 +139,8 @@
   /** @return version of the manifest in force, 0 without one. */
   [[nodiscard]] uint64_t Version();
   [[nodiscard]] NodeStatus GetStatus(TimePoint aNow);
+  /** @return calls waiting for the upstream, by importance and party. */
+  [[nodiscard]] QueueView GetQueue(TimePoint aNow);
   [[nodiscard]] std::vector<ExplainStep> Explain(const RequestId& aRequest);
 
 private:
--- a/libs/node/include/node/TargetLogic.h
+++ b/libs/node/include/node/TargetLogic.h
@@ -21,6 +21,14 @@
 
 namespace amaranthgap {
 
+/** State of the queue of a target. */
+struct QueueView
+{
+  double mDrainRate = 0; ///< Calls per second; 0 when unknown.
+  Duration mExpectedRun{};
+  std::vector<WaitingLine> mLines;
+};
+
 /** Target side of a node: admits calls to the upstream beside it, follows
  * their executions, and answers for its idempotency keys.
  * Not safe for use by several threads. */
@@ -104,6 +112,7 @@
   [[nodiscard]] bool IsDrained() const;
 
   [[nodiscard]] TargetLoad Load(TimePoint aNow) const;
+  [[nodiscard]] QueueView Queue(TimePoint aNow) const;
   [[nodiscard]] const UpstreamWatch& Upstream() const { return mUpstream; }
 
 private:
--- a/libs/node/src/NodeLogic.cpp
+++ b/libs/node/src/NodeLogic.cpp
@@ -319,6 +319,14 @@
   return status;
 }
 
+template<class Mutex>
+QueueView
+NodeLogic<Mutex>::GetQueue(TimePoint aNow)
+{
+  return mParts->mTarget.Use(
+    [&](TargetLogic& aTarget) { return aTarget.Queue(aNow); });
+}
+
 template<class Mutex>
 std::vector<ExplainStep>
 NodeLogic<Mutex>::Explain(const RequestId& aRequest)
--- a/libs/node/src/TargetLogic.cpp
+++ b/libs/node/src/TargetLogic.cpp
@@ -491,6 +491,14 @@
                        Reason::Leaving };
 }
 
+QueueView
+TargetLogic::Queue(TimePoint aNow) const
+{
+  return { .mDrainRate = DrainRate(aNow),
+           .mExpectedRun = FromSeconds(mMeanRunSeconds),
+           .mLines = mQueue->Lines(aNow, mUsage) };
+}
+
 Execution*
 TargetLogic::Find(ExecutionId aExecution)
 {
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -10,6 +10,7 @@
 #include "../../manifest/tests/MemoryStore.h"
 #include "base/Rng.h"
 #include "node/NodeLogic.h"
+#include "node/TargetLogic.h"
 
 namespace amaranthgap::sim {
 
@@ -81,6 +82,18 @@
   TimePoint mStarted;
 };
 
+/** What decides on the place of a call in the queue of a target. */
+struct Rank
+{
+  uint32_t mImportance = 0;
+  std::string mParty;
+  TimePoint mDeadline;
+};
+
+/** @return name of the copy of a request that a call carries. */
+std::string
+CopyOf(const HttpRequest& aHttp);
+
 /** Many nodes with their upstreams in one process, on a virtual clock and a
  * network that loses, delays, repeats and reorders messages. All randomness
  * comes from one seed. */
@@ -192,6 +205,12 @@
 private:
   void Post(size_t aHost, uint64_t aEpoch, std::function<void()> aEvent);
   void Carry(size_t aHost, Actions aActions);
+  /** Checks the order of shedding and the shares of the parties (G2, G9). */
+  void CheckQueue(size_t aHost, const Actions& aActions);
+  void CheckRefusals(size_t aHost,
+                     const QueueView& aQueue,
+                     const std::vector<Rank>& aRefused,
+                     size_t aStarted);
   void Send(size_t aHost, SendMessage aSend);
   void Transmit(size_t aFrom, size_t aTo, Envelope aEnvelope, Duration aDelay);
   void ReportLost(size_t aHost, const NodeRef& aPeer, bool aNeverSent);
@@ -249,6 +268,9 @@
   std::vector<Sent> mCalls;
   std::map<uint64_t, size_t> mByHandle;
   std::map<uint64_t, ChildWait> mChildWaits;
+  /** Of the calls that peers received, by host, caller and call. */
+  std::map<std::tuple<size_t, NodeRef, CallId>, Rank> mRanks;
+  std::map<std::string, uint32_t> mImportanceOf; ///< By copy.
   std::vector<Run> mRuns;
   std::map<RequestId, uint64_t> mCallsByRequest;
   std::vector<std::string> mViolations;
--- a/libs/node/tests/SimUpstream.cpp
+++ b/libs/node/tests/SimUpstream.cpp
@@ -107,12 +107,7 @@
     mViolations.push_back("new work on a leaving upstream: " + host.mId.mValue);
   }
   const std::string operation = aStart.mHttp.mBody;
-  std::string copy;
-  for (const auto& [name, value] : aStart.mHttp.mHeaders) {
-    if (name == "X-Copy") {
-      copy = value;
-    }
-  }
+  const std::string copy = CopyOf(aStart.mHttp);
   mRuns.push_back({ .mOperation = operation,
                     .mCopy = copy,
                     .mRequest = aStart.mRequest,
--- a/libs/overload/include/overload/AdmissionQueue.h
+++ b/libs/overload/include/overload/AdmissionQueue.h
@@ -26,6 +26,17 @@
   TimePoint mDeadline;
 };
 
+/** Calls of one party that wait at one importance level. */
+struct WaitingLine
+{
+  uint32_t mImportance = 0;
+  std::string mParty;
+  size_t mCalls = 0;    ///< 0 for a party that was served but has none waiting.
+  double mAttained = 0; ///< Seconds of upstream time, calls under way included.
+  double mExpected = 0; ///< Seconds that the waiting calls will take.
+  TimePoint mLatestStart; ///< After it, none can meet its deadline.
+};
+
 /** Calls waiting for the upstream, ordered by importance, then by the party
  * with the least attained service, then by depth (deeper first), then by
  * arrival. Not safe for use by several threads. */
@@ -66,6 +77,10 @@
 
   [[nodiscard]] size_t Size() const;
 
+  /** @return what decides on the order, for the levels with waiting calls. */
+  [[nodiscard]] std::vector<WaitingLine> Lines(TimePoint aNow,
+                                               const PartyUsage& aUsage) const;
+
   /** @return expected wait of a call of this importance over the target delay;
    * 1 and above means that it would be refused. */
   [[nodiscard]] double Fill(uint32_t aImportance, double aDrainRate) const;
--- a/libs/overload/src/AdmissionQueue.cpp
+++ b/libs/overload/src/AdmissionQueue.cpp
@@ -284,6 +284,37 @@
   return mIndex.size();
 }
 
+std::vector<WaitingLine>
+AdmissionQueue::Lines(TimePoint aNow, const PartyUsage& aUsage) const
+{
+  std::vector<WaitingLine> lines;
+  const auto add = [&](uint32_t aImportance, const std::string& aParty) {
+    lines.push_back(
+      { .mImportance = aImportance,
+        .mParty = aParty,
+        .mAttained = Attained(aNow, { aImportance, aParty }, aUsage) });
+  };
+  for (const auto& [importance, level] : mLevels) {
+    for (const auto& [party, line] : level.mLines) {
+      add(importance, party);
+      lines.back().mCalls = line.size();
+      for (const Entry& entry : line) {
+        lines.back().mExpected += Cost(entry.mRun);
+        lines.back().mLatestStart = std::max(
+          lines.back().mLatestStart, entry.mCall.mDeadline - entry.mRun);
+      }
+    }
+  }
+  for (const PartyShare& share : aUsage.LocalShares(aNow)) {
+    const auto level = mLevels.find(share.mImportance);
+    if (level != mLevels.end() &&
+        !level->second.mLines.contains(share.mParty)) {
+      add(share.mImportance, share.mParty);
+    }
+  }
+  return lines;
+}
+
 double
 AdmissionQueue::Fill(uint32_t aImportance, double aDrainRate) const
 {
