Share steps that tests and benches repeat

Before: each event of the simulation carried out its actions itself; tests settled their simulation by hand; the target tests spelled out each result of the upstream; Deployment and Trial had the same context methods.

After: Sim::Deliver gives an event to a node and carries out its actions, SettledSim starts with all nodes joined, the fixture of the target tests has Answer, Fail and Cancel, and FleetContext holds the context methods.

The benches were imported, not run.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -7,7 +7,7 @@
 between regions are not imitated: all traffic stays on the loopback device.
 """
 
-from fleet import Fleet, manifest
+from fleet import Fleet, FleetContext, manifest
 
 # Entry service, then each service with its child; the last one is slow.
 DEPLOYMENTS = {
@@ -52,7 +52,7 @@
     return [(f"caller-{n}", f"party-{n}") for n in range(1, count + 1)]
 
 
-class Deployment:
+class Deployment(FleetContext):
     """A running deployment; every service has the classes high, normal and
     low, and each request walks the chain down with the class `normal`, or
     `high` and `low` in services that are called directly."""
@@ -71,17 +71,6 @@
         self.exponential = exponential
         self.fleet = Fleet(work, settings)
 
-    def __enter__(self):
-        try:
-            self._start()
-        except BaseException:
-            self.fleet.stop()
-            raise
-        return self
-
-    def __exit__(self, *_):
-        self.fleet.stop()
-
     def _start(self):
         fleet = self.fleet
         fleet.start_store()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -92,6 +92,26 @@
         self.upstream_process = None
 
 
+class FleetContext:
+    """Starts its fleet on entry; stops it on exit, and when the start fails."""
+
+    fleet: "Fleet"
+
+    def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self.fleet.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.fleet.stop()
+
+    def _start(self):
+        raise NotImplementedError
+
+
 class Fleet:
     def __init__(self, work, settings=None):
         self.work = Path(work)
--- a/bench/trials.py
+++ b/bench/trials.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 import fleet as fleet_module
-from fleet import Fleet, FleetError, http, manifest, run_load
+from fleet import Fleet, FleetContext, FleetError, http, manifest, run_load
 
 REGIONS = ["east", "north", "south"]
 CALLERS = [("app-1", "party-1"), ("app-2", "party-2")]
@@ -28,7 +28,7 @@
         FAILURES.append(name)
 
 
-class Trial:
+class Trial(FleetContext):
     """Two services, booking above tracking, with three targets each."""
 
     TARGETS = 3
@@ -39,17 +39,6 @@
         self.fleet = Fleet(work, {"drain_timeout_ms": 6000})
         self.upstream_arguments = list(upstream_arguments)
 
-    def __enter__(self):
-        try:
-            self._start()
-        except BaseException:
-            self.fleet.stop()
-            raise
-        return self
-
-    def __exit__(self, *_):
-        self.fleet.stop()
-
     def _start(self):
         fleet = self.fleet
         fleet.start_store()
--- a/libs/node/tests/NodeFaultTest.cpp
+++ b/libs/node/tests/NodeFaultTest.cpp
@@ -110,8 +110,7 @@
 // Guards against work that goes on below a caller that has gone.
 TEST_CASE("hanging up cancels the whole tree", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   SlowDown(sim, "leaf", 100);
   const size_t call = sim.Call(0, 1, "front", "read", { "r1" }, "");
   sim.RunFor(milliseconds(60));
@@ -125,8 +124,7 @@
 
 TEST_CASE("a deadline ends the whole tree in time", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   SlowDown(sim, "leaf", 1000);
   const size_t call =
     sim.Call(0, 1, "leaf", "read", { "r1" }, "", milliseconds(100));
@@ -145,8 +143,7 @@
 // Guards against orphaned work when the root node disappears.
 TEST_CASE("a lost root node cancels what runs below it", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   SlowDown(sim, "leaf", 100);
   const size_t root = HostsOf(sim, "pay")[0];
   sim.Call(root, 1, "front", "read", { "r1" }, "");
@@ -161,8 +158,7 @@
 
 TEST_CASE("a non-idempotent child of an idempotent call is refused", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   const size_t call = sim.Call(0, 1, "book", "read", { "r1" }, "");
   sim.RunFor(milliseconds(200));
   CHECK(AnswerOf(sim, call).mHttp.mStatus == 500);
@@ -173,8 +169,7 @@
 
 TEST_CASE("a child call of an unknown execution is refused", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   Actions actions;
   sim.Hosts()[0].mNode->CallArrived(sim.Now(),
                                     { .mCaller = { 1'000'000 },
@@ -195,8 +190,7 @@
 // second try at a target that has failed.
 TEST_CASE("the retries of a whole tree are bounded", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   sim.Upstreams().mFailure = 1;
   const size_t leaf = sim.Call(0, 1, "leaf", "read", { "r1" }, "");
   sim.RunFor(seconds(1));
@@ -223,8 +217,7 @@
 
 TEST_CASE("a key of another party does not run", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   const std::string key = TakeKey(sim);
   const size_t call =
     sim.Call(1, 1, "book", "charge", { "r1" }, key, {}, "app");
@@ -240,8 +233,7 @@
 {
   auto options = Fleet();
   options.mManifest["limits/key_lifetime_ms"] = "5000";
-  Sim sim(options);
-  sim.Settle();
+  SettledSim sim(options);
   const std::string key = TakeKey(sim);
   sim.RunFor(seconds(6));
   const AnswerCaller answer = Charge(sim, 1, 1, key);
@@ -253,8 +245,7 @@
 // Guards against a rolling replacement that loses answers, or runs a key again.
 TEST_CASE("the keys of a drained node stay answered", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   // Keys of the same node: one that runs, one that does not.
   std::string used = TakeKey(sim);
   REQUIRE(Charge(sim, 1, 1, used).mOutcome == Outcome::Answered);
@@ -306,8 +297,7 @@
 
 TEST_CASE("the keys of a killed node may have run", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   const std::string key = TakeKey(sim);
   REQUIRE(Charge(sim, 1, 1, key).mOutcome == Outcome::Answered);
   const size_t host = RunHost(sim, "1");
@@ -327,8 +317,7 @@
 // Guards against a paused node whose key is given to another one meanwhile.
 TEST_CASE("the keys of a paused node run at most once", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   const std::string key = TakeKey(sim);
   REQUIRE(Charge(sim, 1, 1, key).mOutcome == Outcome::Answered);
   const size_t host = RunHost(sim, "1");
@@ -347,8 +336,7 @@
 // Guards against a replacement of the fleet that callers notice.
 TEST_CASE("a rolling replacement cuts nothing off", "[node]")
 {
-  Sim sim(Fleet());
-  sim.Settle();
+  SettledSim sim(Fleet());
   std::map<uint64_t, std::string> keys;
   std::set<uint64_t> answered;
   uint64_t last = 0;
@@ -405,8 +393,7 @@
   const uint64_t seed = GENERATE(1, 2, 3, 4, 5);
   auto options = Fleet(seed);
   options.mServices[2].mHosts = 6;
-  Sim sim(options);
-  sim.Settle();
+  SettledSim sim(options);
   sim.Upstreams().mPoison.insert("7");
   uint64_t next = 100;
   uint64_t answered = 0;
@@ -446,8 +433,7 @@
 {
   auto options = Fleet();
   options.mServices[2].mRun = milliseconds(20);
-  Sim sim(options);
-  sim.Settle();
+  SettledSim sim(options);
   std::map<std::string, std::pair<uint64_t, uint64_t>> answers; // Good, all.
   std::set<uint64_t> alarms;
   sim.mOnAnswer = [&](size_t aCall) {
@@ -496,8 +482,7 @@
 {
   auto options = Fleet();
   options.mPolicyOff = true;
-  Sim sim(options);
-  sim.Settle();
+  SettledSim sim(options);
   const size_t good = sim.Call(0, 1, "front", "read", { "r1" }, "");
   sim.RunFor(milliseconds(300));
   CHECK(AnswerOf(sim, good).mHttp.mBody == sim.Expected("front", "1"));
--- a/libs/node/tests/NodeLogicTest.cpp
+++ b/libs/node/tests/NodeLogicTest.cpp
@@ -30,8 +30,7 @@
 // call and back.
 TEST_CASE("a request runs through entry, target, upstream and child calls")
 {
-  Sim sim(TwoTiers());
-  sim.Settle();
+  SettledSim sim(TwoTiers());
   const size_t call = sim.Call(2, 1, "front", "read", { "r1" }, "");
   sim.RunFor(milliseconds(500));
 
@@ -53,8 +52,7 @@
 {
   auto options = TwoTiers();
   options.mServices[1].mRun = seconds(5);
-  Sim sim(options);
-  sim.Settle();
+  SettledSim sim(options);
   const size_t call = sim.Call(2, 1, "front", "read", { "r1" }, "");
   sim.RunFor(milliseconds(200));
   REQUIRE(sim.OpenChildCalls() == 2);
@@ -68,8 +66,7 @@
 // twice with one.
 TEST_CASE("a non-idempotent request runs once, with an issued key")
 {
-  Sim sim(TwoTiers());
-  sim.Settle();
+  SettledSim sim(TwoTiers());
   const size_t first = sim.Call(0, 5, "book", "charge", { "r1" }, "");
   sim.RunFor(milliseconds(200));
   REQUIRE(sim.Calls()[first].mAnswer);
--- a/libs/node/tests/Sim.cpp
+++ b/libs/node/tests/Sim.cpp
@@ -240,10 +240,8 @@
     return;
   }
   host.mDraining = true;
-  Post(aHost, host.mEpoch, [this, aHost] {
-    Actions actions;
-    mHosts[aHost].mNode->DrainStarted(mNow, actions);
-    Carry(aHost, std::move(actions));
+  Deliver(aHost, host.mEpoch, [this](Node& aNode, Actions& aActions) {
+    aNode.DrainStarted(mNow, aActions);
   });
 }
 
@@ -263,11 +261,10 @@
                  StoreAnswer aAnswer)
 {
   After(aDelay, [this, aHost, aEpoch, aCall, answer = std::move(aAnswer)] {
-    Post(aHost, aEpoch, [this, aHost, aCall, answer] {
-      Actions actions;
-      mHosts[aHost].mNode->StoreAnswered(mNow, aCall, answer, actions);
-      Carry(aHost, std::move(actions));
-    });
+    Deliver(
+      aHost, aEpoch, [this, aCall, answer](Node& aNode, Actions& aActions) {
+        aNode.StoreAnswered(mNow, aCall, answer, aActions);
+      });
   });
 }
 
@@ -396,7 +393,7 @@
   const uint64_t epoch = mHosts[aTo].mEpoch;
   auto envelope = std::make_shared<Envelope>(std::move(aEnvelope));
   After(aDelay, [this, aTo, epoch, envelope] {
-    Post(aTo, epoch, [this, aTo, envelope] {
+    Deliver(aTo, epoch, [this, aTo, envelope](Node& aNode, Actions& aActions) {
       if (const auto* call = std::get_if<CallMessage>(&envelope->mMessage)) {
         mRanks.try_emplace(
           { aTo, envelope->mFrom, call->mCall },
@@ -405,9 +402,7 @@
                 .mDeadline = mNow + milliseconds(call->mTimeoutMs) });
         mImportanceOf[CopyOf(call->mHttp)] = call->mImportance;
       }
-      Actions actions;
-      mHosts[aTo].mNode->MessageArrived(mNow, std::move(*envelope), actions);
-      Carry(aTo, std::move(actions));
+      aNode.MessageArrived(mNow, std::move(*envelope), aActions);
     });
   });
 }
@@ -415,11 +410,11 @@
 void
 Sim::ReportLost(size_t aHost, const NodeRef& aPeer, bool aNeverSent)
 {
-  Post(aHost, mHosts[aHost].mEpoch, [this, aHost, aPeer, aNeverSent] {
-    Actions actions;
-    mHosts[aHost].mNode->PeerLost(mNow, aPeer, aNeverSent, actions);
-    Carry(aHost, std::move(actions));
-  });
+  Deliver(aHost,
+          mHosts[aHost].mEpoch,
+          [this, aPeer, aNeverSent](Node& aNode, Actions& aActions) {
+            aNode.PeerLost(mNow, aPeer, aNeverSent, aActions);
+          });
 }
 
 // -- Order of the queue -----------------------------------------------------
@@ -562,11 +557,11 @@
                .mHeaders = { { "X-Copy", std::to_string(handle.mValue) } },
                .mBody = std::to_string(aOperation) }
   };
-  Post(aHost, host.mEpoch, [this, aHost, call = std::move(call)] {
-    Actions actions;
-    mHosts[aHost].mNode->CallArrived(mNow, call, actions);
-    Carry(aHost, std::move(actions));
-  });
+  Deliver(aHost,
+          host.mEpoch,
+          [this, call = std::move(call)](Node& aNode, Actions& aActions) {
+            aNode.CallArrived(mNow, call, aActions);
+          });
   return index;
 }
 
@@ -583,16 +578,16 @@
                      .mSent = mNow,
                      .mDeadline = mNow + seconds(1) });
   mByHandle[handle.mValue] = index;
-  Post(aHost, mHosts[aHost].mEpoch, [this, aHost, handle, aService, aClass] {
-    Actions actions;
-    mHosts[aHost].mNode->KeyRequested(mNow,
-                                      { .mCaller = handle,
-                                        .mCallerName = "web",
-                                        .mService = aService,
-                                        .mRequestClass = aClass },
-                                      actions);
-    Carry(aHost, std::move(actions));
-  });
+  Deliver(aHost,
+          mHosts[aHost].mEpoch,
+          [this, handle, aService, aClass](Node& aNode, Actions& aActions) {
+            aNode.KeyRequested(mNow,
+                               { .mCaller = handle,
+                                 .mCallerName = "web",
+                                 .mService = aService,
+                                 .mRequestClass = aClass },
+                               aActions);
+          });
   return index;
 }
 
@@ -616,11 +611,10 @@
   call.mGone = true;
   const size_t host = call.mHost;
   const CallerHandle handle = call.mHandle;
-  Post(host, call.mHostEpoch, [this, host, handle] {
-    Actions actions;
-    mHosts[host].mNode->CallerGone(mNow, handle, actions);
-    Carry(host, std::move(actions));
-  });
+  Deliver(
+    host, call.mHostEpoch, [this, handle](Node& aNode, Actions& aActions) {
+      aNode.CallerGone(mNow, handle, aActions);
+    });
 }
 
 void
--- a/libs/node/tests/Sim.h
+++ b/libs/node/tests/Sim.h
@@ -204,6 +204,16 @@
 
 private:
   void Post(size_t aHost, uint64_t aEpoch, std::function<void()> aEvent);
+  /** Gives an event to the node of a host unless that has been replaced. */
+  template<class F>
+  void Deliver(size_t aHost, uint64_t aEpoch, F aEvent)
+  {
+    Post(aHost, aEpoch, [this, aHost, event = std::move(aEvent)] {
+      Actions actions;
+      event(*mHosts[aHost].mNode, actions);
+      Carry(aHost, std::move(actions));
+    });
+  }
   void Carry(size_t aHost, Actions aActions);
   /** Checks the order of shedding and the shares of the parties (G2, G9). */
   void CheckQueue(size_t aHost, const Actions& aActions);
@@ -278,4 +288,14 @@
   uint64_t mLastSequence = 0;
 };
 
+/** A simulation whose nodes have joined. */
+struct SettledSim : Sim
+{
+  explicit SettledSim(Options aOptions)
+    : Sim(std::move(aOptions))
+  {
+    Settle();
+  }
+};
+
 } // namespace amaranthgap::sim
--- a/libs/node/tests/SimUpstream.cpp
+++ b/libs/node/tests/SimUpstream.cpp
@@ -40,10 +40,8 @@
                                    .mSlots = Model(host.mService).mSlots,
                                    .mRun = std::to_string(host.mRun),
                                    .mLeaving = host.mUpstreamLeaving };
-  Post(aHost, aEpoch, [this, aHost, announcement] {
-    Actions actions;
-    mHosts[aHost].mNode->UpstreamAnnounced(mNow, announcement, actions);
-    Carry(aHost, std::move(actions));
+  Deliver(aHost, aEpoch, [this, announcement](Node& aNode, Actions& aActions) {
+    aNode.UpstreamAnnounced(mNow, announcement, aActions);
   });
 }
 
@@ -85,12 +83,11 @@
   host.mWork.erase(aExecution);
   const uint64_t epoch = host.mEpoch;
   After(microseconds(100), [this, aHost, epoch, aExecution, aFailure] {
-    Post(aHost, epoch, [this, aHost, aExecution, aFailure] {
-      Actions actions;
-      mHosts[aHost].mNode->UpstreamFailed(
-        mNow, { aExecution }, aFailure, actions);
-      Carry(aHost, std::move(actions));
-    });
+    Deliver(aHost,
+            epoch,
+            [this, aExecution, aFailure](Node& aNode, Actions& aActions) {
+              aNode.UpstreamFailed(mNow, { aExecution }, aFailure, aActions);
+            });
   });
 }
 
@@ -175,10 +172,8 @@
   work->mChildrenLeft = calls.size();
   mCallsByRequest[work->mStart.mRequest] += calls.size();
   for (CallerCall& call : calls) {
-    Post(aHost, epoch, [this, aHost, call] {
-      Actions actions;
-      mHosts[aHost].mNode->CallArrived(mNow, call, actions);
-      Carry(aHost, std::move(actions));
+    Deliver(aHost, epoch, [this, call](Node& aNode, Actions& aActions) {
+      aNode.CallArrived(mNow, call, aActions);
     });
   }
 }
@@ -228,12 +223,10 @@
   response.mBody += ")";
   host.mWork.erase(aExecution);
   const uint64_t epoch = host.mEpoch;
-  Post(aHost, epoch, [this, aHost, aExecution, response] {
-    Actions actions;
-    mHosts[aHost].mNode->UpstreamAnswered(
-      mNow, { aExecution }, response, actions);
-    Carry(aHost, std::move(actions));
-  });
+  Deliver(
+    aHost, epoch, [this, aExecution, response](Node& aNode, Actions& aActions) {
+      aNode.UpstreamAnswered(mNow, { aExecution }, response, aActions);
+    });
 }
 
 void
--- a/libs/node/tests/TargetLogicTest.cpp
+++ b/libs/node/tests/TargetLogicTest.cpp
@@ -10,6 +10,7 @@
 const NodeRef kSelf{ { "self" }, { 10 } };
 const NodeRef kEntry{ { "entry" }, { 20 } };
 const TimePoint kStart{ seconds(1000) };
+const HttpResponse kAnswer{ .mStatus = 200, .mBody = "done" };
 
 struct Fixture
 {
@@ -66,6 +67,23 @@
                     mEffects);
   }
 
+  void Cancel(uint64_t aId)
+  {
+    mLogic.PeerCancel(kStart, kEntry, { .mCall = { aId } }, mEffects);
+  }
+
+  void Answer(const StartUpstream& aStart, TimePoint aNow = kStart)
+  {
+    mLogic.UpstreamAnswered(aNow, aStart.mExecution, kAnswer, mEffects);
+  }
+
+  void Fail(const StartUpstream& aStart,
+            UpstreamFailure aFailure,
+            TimePoint aNow = kStart)
+  {
+    mLogic.UpstreamFailed(aNow, aStart.mExecution, aFailure, mEffects);
+  }
+
   std::string Key(TimePoint aNow = kStart)
   {
     Effects effects;
@@ -113,8 +131,6 @@
   }
 };
 
-const HttpResponse kAnswer{ .mStatus = 200, .mBody = "done" };
-
 } // namespace
 
 // Guards against a call that runs twice because its message arrived twice.
@@ -125,8 +141,7 @@
   const StartUpstream start = fixture.Started();
   fixture.Call(7);
   CHECK(fixture.mEffects.mActions.empty());
-  fixture.mLogic.UpstreamAnswered(
-    kStart, start.mExecution, kAnswer, fixture.mEffects);
+  fixture.Answer(start);
   REQUIRE(fixture.Replies().size() == 1);
   fixture.Clear();
   fixture.Call(7, kStart + seconds(1));
@@ -141,8 +156,7 @@
 TEST_CASE("a cancellation that overtakes its call stops it", "[target]")
 {
   Fixture fixture;
-  fixture.mLogic.PeerCancel(
-    kStart, kEntry, { .mCall = { 7 } }, fixture.mEffects);
+  fixture.Cancel(7);
   fixture.Call(7);
   CHECK(fixture.mEffects.mActions.empty());
 }
@@ -185,16 +199,12 @@
   Fixture fixture(1);
   fixture.Call(1);
   const StartUpstream start = fixture.Started();
-  fixture.mLogic.PeerCancel(
-    kStart, kEntry, { .mCall = { 1 } }, fixture.mEffects);
+  fixture.Cancel(1);
   CHECK(fixture.Of<CancelUpstream>().size() == 1);
   fixture.Clear();
   fixture.Call(2);
   CHECK(fixture.Of<StartUpstream>().empty());
-  fixture.mLogic.UpstreamFailed(kStart,
-                                start.mExecution,
-                                UpstreamFailure::ConnectionLost,
-                                fixture.mEffects);
+  fixture.Fail(start, UpstreamFailure::ConnectionLost);
   CHECK(fixture.Of<StartUpstream>().size() == 1);
   CHECK(fixture.Replies().empty());
 }
@@ -207,20 +217,17 @@
   const std::string key = fixture.Key();
   fixture.Call(1, kStart, key);
   const StartUpstream start = fixture.Started();
-  fixture.mLogic.PeerCancel(
-    kStart, kEntry, { .mCall = { 1 } }, fixture.mEffects);
+  fixture.Cancel(1);
   CHECK(fixture.Of<CancelUpstream>().empty());
   SECTION("sent again while it runs")
   {
     fixture.Call(2, kStart, key);
     CHECK(fixture.Of<StartUpstream>().empty());
-    fixture.mLogic.UpstreamAnswered(
-      kStart, start.mExecution, kAnswer, fixture.mEffects);
+    fixture.Answer(start);
   }
   SECTION("sent again after its end")
   {
-    fixture.mLogic.UpstreamAnswered(
-      kStart, start.mExecution, kAnswer, fixture.mEffects);
+    fixture.Answer(start);
     CHECK(fixture.Replies().empty());
     fixture.Call(2, kStart, key);
   }
@@ -229,10 +236,8 @@
     fixture.mLogic.Tick(kStart + milliseconds(1100), fixture.mEffects);
     CHECK(fixture.Of<CancelUpstream>().size() == 1);
     fixture.Call(2, kStart + milliseconds(1100), key);
-    fixture.mLogic.UpstreamFailed(kStart + milliseconds(1101),
-                                  start.mExecution,
-                                  UpstreamFailure::ConnectionLost,
-                                  fixture.mEffects);
+    fixture.Fail(
+      start, UpstreamFailure::ConnectionLost, kStart + milliseconds(1101));
     REQUIRE(fixture.Replies().size() == 1);
     CHECK(fixture.Replies()[0].mOutcome == Outcome::MayHaveRun);
     return;
@@ -265,15 +270,13 @@
     Fixture fixture;
     fixture.Call(1);
     const StartUpstream start = fixture.Started();
-    fixture.mLogic.UpstreamFailed(
-      kStart, start.mExecution, item.mFailure, fixture.mEffects);
+    fixture.Fail(start, item.mFailure);
     REQUIRE(fixture.Replies().size() == 1);
     CHECK(fixture.Replies()[0].mOutcome == item.mOutcome);
     CHECK(fixture.Replies()[0].mReason == item.mReason);
     // A second result for the same execution changes nothing.
     fixture.Clear();
-    fixture.mLogic.UpstreamAnswered(
-      kStart, start.mExecution, kAnswer, fixture.mEffects);
+    fixture.Answer(start);
     CHECK(fixture.Replies().empty());
   }
 }
@@ -286,8 +289,7 @@
   const std::string key = fixture.Key();
   fixture.Call(1, kStart, key);
   const StartUpstream start = fixture.Started();
-  fixture.mLogic.UpstreamFailed(
-    kStart, start.mExecution, UpstreamFailure::NotConnected, fixture.mEffects);
+  fixture.Fail(start, UpstreamFailure::NotConnected);
   REQUIRE(fixture.Replies().size() == 1);
   CHECK(fixture.Replies()[0].mOutcome == Outcome::NotRun);
   CHECK_FALSE(fixture.Replies()[0].mIssuedKey.empty());
@@ -315,8 +317,7 @@
   fixture.Clear();
   fixture.Call(2, kStart, used); // Joins.
   CHECK(fixture.mEffects.mActions.empty());
-  fixture.mLogic.UpstreamAnswered(
-    kStart, start.mExecution, kAnswer, fixture.mEffects);
+  fixture.Answer(start);
   CHECK(fixture.Replies().size() == 2);
   fixture.Clear();
   fixture.Call(3, kStart, used);
@@ -337,12 +338,10 @@
   const StartUpstream one = fixture.Started();
   fixture.Call(2);
   const StartUpstream two = fixture.Started();
-  fixture.mLogic.UpstreamFailed(
-    kStart, one.mExecution, UpstreamFailure::ConnectionLost, fixture.mEffects);
+  fixture.Fail(one, UpstreamFailure::ConnectionLost);
   CHECK(fixture.Replies().at(0).mSuspect);
   CHECK(fixture.mLogic.Upstream().State(kStart) == UpstreamState::Up);
-  fixture.mLogic.UpstreamFailed(
-    kStart, two.mExecution, UpstreamFailure::ConnectionLost, fixture.mEffects);
+  fixture.Fail(two, UpstreamFailure::ConnectionLost);
   CHECK(fixture.mLogic.Upstream().State(kStart) == UpstreamState::Down);
   CHECK(fixture.Of<AuditEntry>().size() >= 3); // Two suspects, one state.
 
@@ -352,10 +351,8 @@
   const StartUpstream first = other.Started();
   other.Call(2);
   const StartUpstream second = other.Started();
-  other.mLogic.UpstreamFailed(
-    kStart, first.mExecution, UpstreamFailure::Incomplete, other.mEffects);
-  other.mLogic.UpstreamAnswered(
-    kStart, second.mExecution, kAnswer, other.mEffects);
+  other.Fail(first, UpstreamFailure::Incomplete);
+  other.Answer(second);
   CHECK(other.mLogic.Upstream().State(kStart) == UpstreamState::Up);
 }
 
@@ -371,7 +368,6 @@
   fixture.Call(3); // Innocent.
   const StartUpstream innocent = fixture.Started();
   CHECK(innocent.mRequest.mValue == "r3");
-  fixture.mLogic.UpstreamAnswered(
-    kStart, first.mExecution, kAnswer, fixture.mEffects);
+  fixture.Answer(first);
   CHECK(fixture.Started().mRequest.mValue == "r2");
 }
