Test that messages and keys of another incarnation are refused

Cause: mutations of nine checks of the node showed three that no test of the node noticed: the addressee incarnation of a call, that of a reply, and the node incarnation of an issued key.

The network of the simulation carries a message only to the incarnation that it was sent to, and entry nodes send the key of a replaced node to the holders of its record, so the schedules hardly reach these checks.

After: two tests.

--- a/libs/node/tests/NodeFaultTest.cpp
+++ b/libs/node/tests/NodeFaultTest.cpp
@@ -105,6 +105,41 @@
 
 } // namespace
 
+// -- Incarnations -----------------------------------------------------------
+
+// Guards against a node that takes messages for its predecessor: it would run
+// calls that were given up with that one, and take replies to its call ids.
+TEST_CASE("messages for another incarnation are dropped", "[node]")
+{
+  SettledSim sim(Fleet());
+  const NodeRef sender = sim.Hosts()[0].mNode->Self();
+  Node& node = *sim.Hosts()[HostsOf(sim, "leaf").front()].mNode;
+  NodeRef predecessor = node.Self();
+  --predecessor.mIncarnation.mValue;
+  const CallMessage call{ .mCall = { 1 },
+                          .mRequest = { "r1" },
+                          .mRoot = sender,
+                          .mParty = "north",
+                          .mService = "leaf",
+                          .mRequestClass = "read",
+                          .mTimeoutMs = 1000 };
+  Actions actions;
+  for (const Message& message :
+       { Message(call), Message(ReplyMessage{ .mCall = { 2 } }) }) {
+    node.MessageArrived(
+      sim.Now(),
+      { .mFrom = sender, .mTo = predecessor, .mMessage = message },
+      actions);
+  }
+  CHECK(sim.CounterSum("dropped_wrong_incarnation") == 2);
+  REQUIRE(actions.size() == 1);
+  const auto reply =
+    std::get<ReplyMessage>(std::get<SendMessage>(actions[0]).mMessage);
+  CHECK(reply.mCall == call.mCall);
+  CHECK(reply.mOutcome == Outcome::NotRun);
+  CHECK(reply.mReason == Reason::WrongTarget);
+}
+
 // -- Cancellation and deadlines ---------------------------------------------
 
 // Guards against work that goes on below a caller that has gone.
--- a/libs/node/tests/TargetLogicTest.cpp
+++ b/libs/node/tests/TargetLogicTest.cpp
@@ -281,6 +281,20 @@
   }
 }
 
+// Guards against a restarted node that runs a key again which its predecessor,
+// whose table is lost, may have run.
+TEST_CASE("a key of another incarnation is not run", "[target]")
+{
+  Fixture predecessor;
+  predecessor.mLogic.SetSelf({ kSelf.mId, { 9 } });
+  Fixture fixture;
+  fixture.Call(1, kStart, predecessor.Key());
+  CHECK(fixture.Of<StartUpstream>().empty());
+  REQUIRE(fixture.Replies().size() == 1);
+  CHECK(fixture.Replies()[0].mOutcome == Outcome::MayHaveRun);
+  CHECK(fixture.Replies()[0].mReason == Reason::KeyHolderGone);
+}
+
 // Guards against a delayed copy that runs after the caller was told that its
 // request did not run and took another key.
 TEST_CASE("a key answered as not run never runs", "[target]")
