Separate the listen address of peers from the advertised one

Cause: a node bound the address that it told others, and its stream connections came from whatever address the routing table chose. A node behind a forwarder could not be reached, and on a host with several addresses network rules could not name the address from which a node connects. The optional setting peer_listen_address is what the node binds; peer_address is what others are told. Connections are opened from the host that is bound, by nng's tcp://SOURCE;HOST:PORT, unless it is 0.0.0.0. Before: the setting did not exist, connections on loopback came from 127.0.0.1. Conclusion: nodes on one machine can be told apart by their addresses, which trials with partitions need.

--- a/libs/config/include/config/Settings.h
+++ b/libs/config/include/config/Settings.h
@@ -17,8 +17,9 @@
   std::string mDataCentre;
   std::string mCallerAddress; ///< HTTP for external callers, `ip:port`.
   std::string mLocalAddress;  ///< HTTP for the upstream and operators.
-  std::string mPeerAddress;   ///< nng (TCP) and UDP for other nodes.
-  std::string mStoreAddress;  ///< HTTP of the platform's store; may be empty.
+  std::string mPeerAddress;   ///< nng (TCP) and UDP, as told to other nodes.
+  std::string mPeerListenAddress; ///< Bound for them; the same by default.
+  std::string mStoreAddress; ///< HTTP of the platform's store; may be empty.
   std::vector<std::string> mStaticPeers;
   std::string mInnerKey; ///< Secret of the inner protocol, 16 bytes or more.
   LogLevel mLogLevel = LogLevel::Info;
--- a/libs/config/src/Settings.cpp
+++ b/libs/config/src/Settings.cpp
@@ -71,6 +71,21 @@
     return *text;
   }
 
+  // An address of this node as others see it. The port may be that of a
+  // forwarder on another host, so it collides with none bound here.
+  std::string Advertised(std::string_view aKey)
+  {
+    const auto text = mTable.String(aKey, Presence::Required);
+    if (!text) {
+      return {};
+    }
+    const auto address = Check(aKey, *text);
+    if (address && address->mHost == "0.0.0.0") {
+      mTable.Report(aKey, "out of range: must be an address to connect to");
+    }
+    return *text;
+  }
+
   std::string Loopback(std::string_view aKey)
   {
     std::string text = Listening(aKey);
@@ -193,7 +208,13 @@
   AddressReader reader(aTable, aProblems);
   aSettings.mCallerAddress = reader.Listening("caller_address");
   aSettings.mLocalAddress = reader.Loopback("local_address");
-  aSettings.mPeerAddress = reader.Listening("peer_address");
+  if (aTable.Has("peer_listen_address")) {
+    aSettings.mPeerAddress = reader.Advertised("peer_address");
+    aSettings.mPeerListenAddress = reader.Listening("peer_listen_address");
+  } else {
+    aSettings.mPeerAddress = reader.Listening("peer_address");
+    aSettings.mPeerListenAddress = aSettings.mPeerAddress;
+  }
   aSettings.mStoreAddress = reader.Remote("store_address");
   aSettings.mStaticPeers = reader.Peers("static_peers");
 }
--- a/libs/config/src/TableReader.h
+++ b/libs/config/src/TableReader.h
@@ -67,6 +67,10 @@
   const toml::array* Array(std::string_view aKey, Presence aPresence);
   const toml::table* Table(std::string_view aKey, Presence aPresence);
 
+  [[nodiscard]] bool Has(std::string_view aKey) const
+  {
+    return mTable.contains(aKey);
+  }
   /** Reports every key that no reader asked for. */
   void ReportUnknownKeys();
   /** Reports a problem of a key; at the line of the table if it is absent. */
--- a/libs/config/tests/SettingsTest.cpp
+++ b/libs/config/tests/SettingsTest.cpp
@@ -63,6 +63,20 @@
   CHECK(settings.mPolicyOff);
   CHECK(settings.mStaticPeers.size() == 2);
   CHECK(settings.mStoreAddress.empty());
+  CHECK(settings.mPeerListenAddress == "127.0.0.1:7402");
+}
+
+// Guards against an advertised address that is taken for a bound one.
+TEST_CASE("the listen address may differ from the advertised", "[config]")
+{
+  const auto result =
+    ParseSettings(With(7,
+                       "peer_address = \"10.0.0.1:7400\"\n"
+                       "peer_listen_address = \"0.0.0.0:7402\""),
+                  "s.toml");
+  REQUIRE(result);
+  CHECK(result.value().mPeerAddress == "10.0.0.1:7400");
+  CHECK(result.value().mPeerListenAddress == "0.0.0.0:7402");
 }
 
 // Guards against a bad file that starts a node, and against a problem without
@@ -121,6 +135,20 @@
       7,
       "peer_address",
       "duplicate address: same as caller_address" },
+    { With(0, "peer_listen_address = \"127.0.0.1:7400\""),
+      9,
+      "peer_listen_address",
+      "duplicate address: same as caller_address" },
+    { With(0, "peer_listen_address = \"host:7403\""),
+      9,
+      "peer_listen_address",
+      "out of range: must be ip:port" },
+    { With(7,
+           "peer_address = \"0.0.0.0:7402\"\n"
+           "peer_listen_address = \"0.0.0.0:7402\""),
+      7,
+      "peer_address",
+      "out of range: must be an address to connect to" },
     { With(0, "store_address = \"127.0.0.1:7402\""),
       9,
       "store_address",
--- a/libs/server/include/server/PeerTransport.h
+++ b/libs/server/include/server/PeerTransport.h
@@ -27,8 +27,8 @@
 /**
  * Messages between nodes: one nng push socket per addressee, opened on demand
  * and closed when idle, one nng pull socket, and one UDP socket, the latter two
- * on the peer address. Sends never block. Every message passes the codec and
- * the replay window.
+ * on the listen address, from whose host connections are also opened. Sends
+ * never block. Every message passes the codec and the replay window.
  *
  * Safe for use by several threads. Hooks are called on threads of nng and of
  * the transport, with no lock held.
@@ -38,7 +38,8 @@
 public:
   struct Options
   {
-    std::string mPeerAddress;
+    std::string mPeerAddress; ///< As told to peers.
+    std::string mListenAddress;
     NodeRef mSelf;
     Codec::Options mCodec;
     Duration mIdleTimeout = seconds(60);
--- a/libs/server/src/NodeProcess.cpp
+++ b/libs/server/src/NodeProcess.cpp
@@ -133,6 +133,7 @@
 NodeProcess::MakeTransportOptions() const
 {
   return { .mPeerAddress = mSettings.mPeerAddress,
+           .mListenAddress = mSettings.mPeerListenAddress,
            .mSelf = mFirstSelf,
            .mCodec = { .mCluster = mSettings.mCluster,
                        .mKey = mSettings.mInnerKey } };
--- a/libs/server/src/PeerTransport.cpp
+++ b/libs/server/src/PeerTransport.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr const char* kAnyHost = "0.0.0.0";
 // Messages that nng holds for one addressee; more wait in Peer::mPending.
 constexpr int kSendBuffer = 1024;
 // A broken connection is reported and closed, never reopened by nng: what it
@@ -67,6 +68,20 @@
   return true;
 }
 
+// Connections come from the address that this node listens on, as datagrams do:
+// on a host with several addresses the routing table could choose another one,
+// which the peer's network rules may not admit.
+std::string
+DialUrl(const std::string& aListenAddress, const std::string& aPeerAddress)
+{
+  std::string host;
+  std::string port;
+  if (!SplitAddress(aListenAddress, host, port) || host == kAnyHost) {
+    return "tcp://" + aPeerAddress;
+  }
+  return "tcp://" + host + ";" + aPeerAddress;
+}
+
 bool
 SendBytes(nng_socket aSocket, const std::string& aBytes)
 {
@@ -124,7 +139,7 @@
 Status
 PeerTransport::OpenStreamListener()
 {
-  const std::string url = "tcp://" + mOptions.mPeerAddress;
+  const std::string url = "tcp://" + mOptions.mListenAddress;
   int rv = nng_pull0_open(&mPull);
   if (rv == 0) {
     rv = nng_socket_set_size(mPull, NNG_OPT_RECVMAXSZ, Codec::kLargestMessage);
@@ -133,7 +148,7 @@
     rv = nng_listen(mPull, url.c_str(), nullptr, 0);
   }
   if (rv != 0) {
-    return Error{ Step::Listen, mOptions.mPeerAddress, nng_strerror(rv) };
+    return Error{ Step::Listen, mOptions.mListenAddress, nng_strerror(rv) };
   }
   return boost::outcome_v2::success();
 }
@@ -142,8 +157,8 @@
 PeerTransport::OpenDatagramSocket()
 {
   SocketAddress address;
-  if (!Resolve(mOptions.mPeerAddress, address)) {
-    return Error{ Step::Listen, mOptions.mPeerAddress, "not an ip:port" };
+  if (!Resolve(mOptions.mListenAddress, address)) {
+    return Error{ Step::Listen, mOptions.mListenAddress, "not an ip:port" };
   }
   mDatagramSocket =
     socket(address.mStorage.ss_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
@@ -153,7 +168,7 @@
   if (bind(mDatagramSocket,
            reinterpret_cast<const sockaddr*>(&address.mStorage),
            address.mLength) != 0) {
-    return Error{ Step::Listen, mOptions.mPeerAddress, std::strerror(errno) };
+    return Error{ Step::Listen, mOptions.mListenAddress, std::strerror(errno) };
   }
   return boost::outcome_v2::success();
 }
@@ -347,7 +362,7 @@
 bool
 PeerTransport::Dial(Peer& aPeer, nng_socket aSocket)
 {
-  const std::string url = "tcp://" + aPeer.mAddress;
+  const std::string url = DialUrl(mOptions.mListenAddress, aPeer.mAddress);
   nng_dialer dialer = NNG_DIALER_INITIALIZER;
   return nng_socket_set_int(aSocket, NNG_OPT_SENDBUF, kSendBuffer) == 0 &&
          nng_socket_set_ms(aSocket, NNG_OPT_RECONNMINT, kNeverReconnect) == 0 &&
--- a/libs/server/tests/PeerTransportTest.cpp
+++ b/libs/server/tests/PeerTransportTest.cpp
@@ -1,10 +1,12 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstring>
 #include <mutex>
 #include <random>
 
 #include <fmt/format.h>
+#include <poll.h>
 
 #include "TestSocket.h"
 #include "server/PeerTransport.h"
@@ -37,6 +39,7 @@
     : mSelf{ { aId }, { 7 } }
     , mAddress(aAddress)
     , mTransport({ .mPeerAddress = aAddress,
+                   .mListenAddress = aAddress,
                    .mSelf = mSelf,
                    .mCodec = { .mCluster = "test", .mKey = "0123456789abcdef" },
                    .mIdleTimeout = aIdle,
@@ -143,6 +146,34 @@
   CHECK(a.GetLost() == 0);
 }
 
+// Guards against connections from an address other than the one that network
+// rules between hosts admit.
+TEST_CASE("connections come from the listen address", "[server]")
+{
+  const std::string port = FreeAddress().substr(std::strlen("127.0.0.1"));
+  End a("a", "127.5.0.1" + port);
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  REQUIRE(::bind(listener, generic, length) == 0);
+  REQUIRE(::listen(listener, 1) == 0);
+  REQUIRE(::getsockname(listener, generic, &length) == 0);
+  a.mTransport.Send(
+    std::chrono::steady_clock::now(),
+    { .mTo = { { "b" }, { 7 } },
+      .mAddress = fmt::format("127.0.0.1:{}", ntohs(address.sin_port)),
+      .mMessage = CancelCall{} });
+  pollfd event{ .fd = listener, .events = POLLIN };
+  REQUIRE(::poll(&event, 1, 2000) == 1);
+  const int connection = ::accept(listener, generic, &length);
+  CHECK(ntohl(address.sin_addr.s_addr) == 0x7f050001);
+  ::close(connection);
+  ::close(listener);
+}
+
 // Guards against a call that waits for its deadline because nobody says that
 // its target is not there.
 TEST_CASE("a peer that is not there is reported as never sent to", "[server]")
