Add a relay that cuts groups of processes off

Cause: no trial could cut the network between real processes, as everything runs on one machine over loopback without firewall rules or namespaces. `amaranthgap-standin relay` forwards TCP and UDP of many ports, knows the group of each end by its loopback address or by the port, and cuts and reconnects groups over its control port. Before: no such means.

--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -4,6 +4,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include "Relay.h"
 #include "StoreStandin.h"
 #include "UpstreamStandin.h"
 
@@ -169,6 +170,39 @@
   return 0;
 }
 
+int
+RunRelay(int argc, char** argv)
+{
+  using Texts = std::vector<std::string>;
+  cxxopts::Options options("amaranthgap-standin relay", "A network to cut");
+  options.add_options()(
+    "control", "Control endpoint", cxxopts::value<std::string>())(
+    "route", "LISTEN=TARGET[@GROUP], may be repeated", cxxopts::value<Texts>())(
+    "group", "GROUP=ADDRESS-PREFIX, may be repeated", cxxopts::value<Texts>());
+  const auto parsed = options.parse(argc, argv);
+  Relay::Options chosen{ .mControl = parsed["control"].as<std::string>() };
+  for (const auto& route : parsed["route"].as<Texts>()) {
+    chosen.mRoutes.push_back(Relay::Route::Parse(route));
+  }
+  for (const auto& group : parsed["group"].as<Texts>()) {
+    const size_t equals = group.find('=');
+    if (equals == std::string::npos) {
+      throw std::invalid_argument(fmt::format("bad group {}", group));
+    }
+    chosen.mGroupOfPrefix[group.substr(equals + 1)] = group.substr(0, equals);
+  }
+  sigset_t signals{};
+  BlockSignals(signals);
+  Relay relay(chosen);
+  if (!relay.Start()) {
+    fmt::print(stderr, "event=listen-failed address={}\n", chosen.mControl);
+    return kListenStatus;
+  }
+  WaitForSignal(signals);
+  relay.Stop();
+  return 0;
+}
+
 } // namespace
 
 int
@@ -182,10 +216,14 @@
     if (command == "upstream") {
       return RunUpstream(argc - 1, argv + 1);
     }
+    if (command == "relay") {
+      return RunRelay(argc - 1, argv + 1);
+    }
   } catch (const std::exception& e) {
     fmt::print(stderr, "amaranthgap-standin {}: {}\n", command, e.what());
     return kUsageStatus;
   }
-  fmt::print(stderr, "usage: amaranthgap-standin store|upstream [options]\n");
+  fmt::print(stderr,
+             "usage: amaranthgap-standin store|upstream|relay [options]\n");
   return kUsageStatus;
 }
