Answer no-target when no node issues a key

Cause: a call of a non-idempotent class without a key was refused with 409 key-required and no key when no target could issue one, against INTERFACE.md ("a key is attached"). The caller was told to send again with a key that it did not have, and got no hint that the service cannot be reached. Conclusion: the answer is what the interface says.

--- a/libs/node/src/EntryKeys.cpp
+++ b/libs/node/src/EntryKeys.cpp
@@ -139,7 +139,10 @@
   const auto target = mRoutes.Choose(aNow, aCall);
   if (!target || aCall.mKeyTries >= kMaxKeyTries) {
     aCall.mTarget = {};
-    if (aCall.mLastReason == Reason::None) {
+    // Without a key attached, key-required would tell the caller to send again
+    // with a key that it does not have, and no time to come back.
+    if (aCall.mLastReason == Reason::None ||
+        aCall.mLastReason == Reason::KeyRequired) {
       aCall.mLastReason = Reason::NoTarget;
     }
     GiveUp(aNow, aCall, aEffects);
--- a/libs/node/tests/EntryLogicTest.cpp
+++ b/libs/node/tests/EntryLogicTest.cpp
@@ -377,6 +377,21 @@
   CHECK(replaced.Answers()[0].mOutcome == Outcome::MayHaveRun);
 }
 
+// Guards against a caller that is told to send again with a key and gets none;
+// seen in a region that was cut off from all targets of the service.
+TEST_CASE("without a node that issues a key there is no target", "[entry]")
+{
+  Fixture fixture;
+  fixture.mLogic.SetMembers(kStart, Members({}), fixture.mEffects);
+  fixture.Clear();
+  fixture.Call("charge");
+  REQUIRE(fixture.Answers().size() == 1);
+  const AnswerCaller answer = fixture.Answers()[0];
+  CHECK(answer.mOutcome == Outcome::NotRun);
+  CHECK(answer.mReason == Reason::NoTarget);
+  CHECK(answer.mRetryAfter > Duration::zero());
+}
+
 // Guards against work for requests that fail further down: a service answers
 // with an error of its own when a child call was refused, which once counted as
 // accepted, so that the root node never throttled.
