Add a trial with a region that is cut off

Cause: no trial cut the network between real processes; the behaviour of parted regions was shown in virtual time only. The trial `partition` puts the relay between three regions and the store, cuts one region off for 15 s under load with retries, publishes a manifest during the cut, and reconnects. It checks at-most-once, outcomes, calls within each side and across after the reconnection, versions in force, and members. Before: not covered. Seen: the smaller side noticed the cut after 5.3 and 7.2 s, since a node that misses many answers widens its own timeouts; until then calls that cross wait for silent targets, and 75 of 202 and 107 of 198 ran into their deadline. Conclusion: the guarantees hold over a cut; the time to notice one is open.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -86,6 +86,8 @@
         self.caller = ports.address()
         self.local = ports.address()
         self.peer = ports.address()
+        self.peer_listen = self.peer
+        self.store = None
         self.upstream = ports.address()
         self.control = ports.address()
         self.node_process = None
@@ -100,6 +102,7 @@
         self.extra = settings or {}
         self.store = self.ports.address()
         self.store_control = self.ports.address()
+        self.relay_control = None
         self.targets = []
         self.services = {}
         self.processes = []
@@ -125,6 +128,38 @@
         self.spawn("store", [STANDIN, "store", "--listen", self.store,
                              "--control", self.store_control, *arguments])
 
+    def start_relay(self):
+        """Puts a relay between the regions of the declared targets, and between
+        them and the store. Comes before the start of the store and the nodes.
+
+        Each region has loopback addresses of its own, by which the relay knows
+        where a connection or datagram comes from. The store's clients use the
+        host's address, so each region reaches the store by its own port."""
+        self.relay_control = self.ports.address()
+        regions = sorted({target.region for target in self.targets})
+        prefix = {region: f"127.{10 + n}." for n, region in enumerate(regions)}
+        prefix["store"] = "127.9."
+        self.store = f"{prefix['store']}0.1:{self.ports.take()}"
+        command = [STANDIN, "relay", "--control", self.relay_control]
+        for group, text in prefix.items():
+            command += ["--group", f"{group}={text}"]
+        by_region = {region: self.ports.address() for region in regions}
+        for region, address in by_region.items():
+            command += ["--route", f"{address}={self.store}@{region}"]
+        for target in self.targets:
+            target.store = by_region[target.region]
+            target.peer_listen = (
+                f"{prefix[target.region]}0.1:{self.ports.take()}")
+            command += ["--route", f"{target.peer}={target.peer_listen}"]
+        self.spawn("relay", command)
+
+    def relay(self, command, group):
+        """Cuts a group off (`cut`) or reconnects it (`reconnect`)."""
+        status, text = http(
+            "POST", self.relay_control, f"/{command}", {"group": group})
+        if status != 200:
+            raise FleetError(f"relay {command} {group}: {status} {text}")
+
     def add(self, service, region, data_centre):
         """Declares one target; service None makes an entry node only."""
         count = len(self.services.get(service, []))
@@ -141,7 +176,9 @@
             "cluster": "bench", "node_id": target.name,
             "region": target.region, "data_centre": target.data_centre,
             "caller_address": target.caller, "local_address": target.local,
-            "peer_address": target.peer, "store_address": self.store,
+            "peer_address": target.peer,
+            "peer_listen_address": target.peer_listen,
+            "store_address": target.store or self.store,
             "static_peers": seeds, "inner_key": INNER_KEY,
             "log_level": "warning", "drain_timeout_ms": 10000,
             **self.extra, **settings,
--- a/bench/trials.py
+++ b/bench/trials.py
@@ -32,6 +32,7 @@
     """Two services, booking above tracking, with three targets each."""
 
     TARGETS = 3
+    WITH_RELAY = False
 
     def __init__(self, work, seed, upstream_arguments=()):
         self.seed = seed
@@ -52,10 +53,10 @@
 
     def _start(self):
         fleet = self.fleet
+        self.add_targets()
+        if self.WITH_RELAY:
+            fleet.start_relay()
         fleet.start_store()
-        for service in ("booking", "tracking"):
-            for n in range(self.TARGETS):
-                fleet.add(service, REGIONS[n], f"{REGIONS[n]}-1")
         for target in fleet.targets:
             fleet.start_node(target)
         fleet.wait_live()
@@ -65,12 +66,18 @@
             self.start_upstream(target)
         fleet.wait_members(len(fleet.targets))
 
-    @staticmethod
-    def manifest(extra=0):
+    def add_targets(self):
+        for service in ("booking", "tracking"):
+            for n in range(self.TARGETS):
+                self.fleet.add(service, REGIONS[n], f"{REGIONS[n]}-1")
+
+    CLASSES = [("booking", "book", 7, False, TIMEOUT_MS),
+               ("booking", "list", 5, True, TIMEOUT_MS),
+               ("tracking", "locate", 5, True, TIMEOUT_MS)]
+
+    def manifest(self, extra=0):
         return manifest(
-            [("booking", "book", 7, False, TIMEOUT_MS),
-             ("booking", "list", 5, True, TIMEOUT_MS),
-             ("tracking", "locate", 5, True, TIMEOUT_MS)],
+            self.CLASSES,
             CALLERS + [(f"extra-{n}", "party-1") for n in range(extra)])
 
     def start_upstream(self, target):
@@ -135,9 +142,10 @@
 
 
 def starts_by_request(work):
+    """Runs of each request at the services that are called from outside."""
     starts = defaultdict(int)
     for service, entry in work:
-        if service == "booking":
+        if service != "tracking":
             starts[entry["request"]] += entry["started"]
     return starts
 
@@ -343,8 +351,165 @@
               set(ends) == {"ok"}, ends)
 
 
+class PartitionTrial(Trial):
+    """Adds billing, which has no target in the region that is cut off, so that
+    calls from there cross regions."""
+
+    WITH_RELAY = True
+    CUT_OFF = "south"
+    CLASSES = [*Trial.CLASSES, ("billing", "charge", 7, False, TIMEOUT_MS)]
+    # A change is in force everywhere within 14 s by design.md, section 1.4; the
+    # cut lasts that long after the publication, and the trial goes on for as
+    # long after the reconnection before calls have to cross again.
+    CUT_AT, PUBLISH_AT, RECONNECT_AT, AGAIN_AT, END = 5, 6, 20, 34, 40
+
+    def add_targets(self):
+        super().add_targets()
+        for region in REGIONS[:2]:
+            self.fleet.add("billing", region, f"{region}-1")
+
+    def sides(self):
+        """Targets of the region that is cut off, and the others."""
+        targets = self.fleet.targets
+        return ([t for t in targets if t.region == self.CUT_OFF],
+                [t for t in targets if t.region != self.CUT_OFF])
+
+    def streams(self, rate=40):
+        inside, outside = ([t.caller for t in side] for side in self.sides())
+        common = {"rate": rate, "deadline_ms": TIMEOUT_MS, "service": "booking"}
+        book = {**common, "caller": "app-1", "class": "book", "keyed": True,
+                "name": "book", "nodes": inside + outside}
+        read = {**common, "caller": "app-2", "class": "list"}
+        charge = {**book, "service": "billing", "class": "charge",
+                  "nodes": inside, "rate": rate / 2}
+        return [
+            book,
+            {**read, "name": "read-inside", "nodes": inside},
+            {**read, "name": "read-outside", "nodes": outside},
+            {**charge, "name": "charge-before", "to_s": self.CUT_AT - 1},
+            {**charge, "name": "charge-at-cut", "from_s": self.CUT_AT - 1,
+             "to_s": self.CUT_AT + 1},
+            {**charge, "name": "charge-cut", "from_s": self.CUT_AT + 1,
+             "to_s": self.RECONNECT_AT - 3},
+            {**charge, "name": "charge-at-reconnection",
+             "from_s": self.RECONNECT_AT - 3, "to_s": self.AGAIN_AT},
+            {**charge, "name": "charge-after", "from_s": self.AGAIN_AT},
+        ]
+
+    def sample(self, samples, over):
+        """Notes time, versions in force and members known, by node."""
+        while not over.is_set():
+            entry = {}
+            for target in self.fleet.targets:
+                status = self.fleet.status(target)
+                alive = [m for m in status.get("members", [])
+                         if m.get("service") and m.get("state") == "warm"]
+                entry[target.name] = (status.get("manifest_version", 0),
+                                      len(alive))
+            samples.append((time.monotonic(), entry))
+            over.wait(0.1)
+
+
+def first_time(samples, since, holds):
+    """Seconds from `since` to the first sample for which `holds`."""
+    return next((round(at - since, 1) for at, entry in samples
+                 if at >= since and holds(entry)), None)
+
+
+def partition(work, seed):
+    """One region is cut off from the others and from the store, and comes
+    back."""
+    with PartitionTrial(work, seed) as trial:
+        fleet = trial.fleet
+        inside, outside = trial.sides()
+        samples, over, times, reports = [], threading.Event(), {}, []
+
+        def switch(command):
+            fleet.relay(command, trial.CUT_OFF)
+            times[command] = time.monotonic()
+
+        def change():
+            reports.append(publish(trial, 1, "during-cut"))
+            times["publish"] = time.monotonic()
+
+        sampler = threading.Thread(target=trial.sample, args=(samples, over))
+        sampler.start()
+        try:
+            figures, ids = trial.load(
+                "partition", trial.END, "hard", events=[
+                    (trial.CUT_AT, lambda: switch("cut")),
+                    (trial.PUBLISH_AT, change),
+                    (trial.RECONNECT_AT, lambda: switch("reconnect"))])
+        finally:
+            over.set()
+            sampler.join()
+        ends = {name: entry["ends"]
+                for name, entry in figures["by_class"].items()}
+        check_partition_outcomes(trial, ends, ids)
+
+        def version_at(targets, version):
+            return lambda entry: all(
+                entry[t.name][0] == version for t in targets)
+
+        def members_at(count):
+            return lambda entry: all(
+                known == count for _, known in entry.values())
+
+        took = first_time(samples, times["publish"], version_at(outside, 2))
+        check("partition: in force where the store is reached",
+              took is not None and took < 14,
+              f"{reports[0].get('verdict')} after {took} s")
+        cut = [(at, entry) for at, entry in samples
+               if times["cut"] <= at < times["reconnect"] - 1]
+        dropped = json.loads(http("GET", fleet.relay_control, "/counts")[1])
+        check("partition: the cut holds",
+              dropped.get("datagrams-dropped", 0) > 0 and
+              all(e[t.name][0] <= 1 for _, e in cut for t in inside), dropped)
+        noticed = [first_time(cut, times["cut"], lambda e, side=side: all(
+            e[t.name][1] == len(side) for t in side))
+                   for side in (inside, outside)]
+        check("partition: each side notices that the other is gone",
+              None not in noticed,
+              f"inside after {noticed[0]} s, outside after {noticed[1]} s")
+        took = first_time(samples, times["reconnect"],
+                          version_at(fleet.targets, 2))
+        check("partition: in force everywhere after the reconnection",
+              took is not None and took < 14, f"after {took} s")
+        seen = {t.name: [entry[t.name][0] for _, entry in samples
+                         if entry[t.name][0] > 0] for t in fleet.targets}
+        check("partition: no node goes back",
+              all(versions == sorted(versions) for versions in seen.values()),
+              f"{len(samples)} samples")
+        took = first_time(samples, times["reconnect"],
+                          members_at(len(fleet.targets)))
+        check("partition: member lists are complete again",
+              took is not None and took < 14 and
+              members_at(len(fleet.targets))(samples[-1][1]),
+              f"after {took} s")
+
+
+def check_partition_outcomes(trial, ends, ids):
+    check_once("partition", trial)
+    starts = starts_by_request(trial.fleet.work_log())
+    ran = [i for i, end in ids.items()
+           if end == "not-run" and starts.get(i, 0) > 0]
+    check("partition: not-run did not run", not ran,
+          f"{len(ran)} ran; book: {ends['book']}")
+    lost = [i for i, end in ids.items()
+            if end == "ok" and starts.get(i, 0) == 0]
+    check("partition: answered ran", not lost, f"{len(lost)} without a run")
+    for name in ("read-inside", "read-outside", "charge-before",
+                 "charge-after"):
+        total = sum(ends[name].values())
+        check(f"partition: {name} is served",
+              ends[name].get("ok", 0) >= 0.99 * total, ends[name])
+    check("partition: charge-cut reaches nothing",
+          ends["charge-cut"].get("ok", 0) == 0,
+          {name: ends[name] for name in ends if name.startswith("charge")})
+
+
 TRIALS = {trial.__name__: trial
-          for trial in (kills, rolling, store, crash, leaving)}
+          for trial in (kills, rolling, store, crash, leaving, partition)}
 
 
 def main():
