Compute what targets can take where the load is, and move whole trees

Now - CapacityPlan, beside the gate of a target, knows the demand before any refusal (each request says at which share it was admitted) and divides the capacity by priority; replies carry the share and the demand of the tree. - EntryAdmission admits by that share and offers what the own data centre cannot take to one that can: one message moves the whole tree. - TargetPicker weighs distance, bytes, wait, run time, failures and the demand below; slow and failing targets are avoided and probed once a second. - Gates serve by priority first. PriorityThrottle and its tests are gone; the loads of those tests are played by the load model with the same bounds.

The load model plays the decisions of a fleet of 24 nodes without a network. Ruled out by it: moving weights by differences of demand (swings), moving bookings ahead of need (no gain), calls that leave for other regions at waits below 100 ms (swings, 5 times the bytes). Mutations that make its tests fail: calls first, no look at the demand below, slow targets not avoided, arrivals counted as they are.

The test that a call of a running request is never throttled now overloads the service for over a second, as a target learns of an overload from its demand and no longer from the first refusals.

--- a/libs/forwarding/include/forwarding/TargetGate.h
+++ b/libs/forwarding/include/forwarding/TargetGate.h
@@ -27,10 +27,11 @@
  * reported. Answers the load of the upstream itself: it never gets more than
  * its slots take, and what cannot start in time is refused at once.
  *
- * Waiting requests start in the order of nested before first, then priority,
- * then arrival. A nested request that is refused loses the work of its whole
- * tree, so it also may wait longer; a first one is refused early, while its
- * caller has time to come back. Not safe for use by several threads. */
+ * Waiting requests start by priority, which calls inherit from the request
+ * that made them, then nested before first, then by arrival. A nested request
+ * that is refused loses the work of its whole tree, so it also may wait longer;
+ * a first one is refused early, while its caller has time to come back. Not
+ * safe for use by several threads. */
 class TargetGate
 {
 public:
@@ -73,13 +74,8 @@
   [[nodiscard]] uint32_t Limit() const { return mLimit; }
   [[nodiscard]] uint32_t Running() const { return mRunning; }
   [[nodiscard]] size_t Waiting() const { return mQueue.size(); }
-  /** @return what a request of that rank meets: below 1 the part of the limit
-   * in use, above 1 the time until those ahead of it have started, in units of
-   * kFullQueue. */
-  [[nodiscard]] double Pressure(uint32_t aPriority, bool aIsNested) const;
-
-  /** Expected wait that counts as a pressure of 2. */
-  static constexpr Duration kFullQueue = milliseconds(100);
+  /** @return how long a request of that rank would wait for a slot. */
+  [[nodiscard]] Duration WaitOf(uint32_t aPriority, bool aIsNested) const;
 
 private:
   struct Entry
@@ -102,8 +98,8 @@
   uint64_t mNextNumber = 0;
   Queue mQueue;
   std::unordered_map<ExecutionId, Queue::iterator> mIndex;
-  /** Waiting requests by rank, for Pressure(). */
-  std::map<std::pair<bool, uint32_t>, size_t> mWaitingByRank;
+  /** Waiting requests by rank: priority, and whether it is a first one. */
+  std::map<std::pair<uint32_t, bool>, size_t> mWaitingByRank;
 };
 
 } // namespace amaranthgap
--- a/libs/forwarding/src/TargetGate.cpp
+++ b/libs/forwarding/src/TargetGate.cpp
@@ -23,8 +23,8 @@
 TargetGate::Entry::operator<(const Entry& aOther) const
 {
   const auto rank = [](const Entry& aEntry) {
-    return std::tuple{ !aEntry.mRequest.mIsNested,
-                       aEntry.mRequest.mPriority,
+    return std::tuple{ aEntry.mRequest.mPriority,
+                       !aEntry.mRequest.mIsNested,
                        aEntry.mNumber };
   };
   return rank(*this) < rank(aOther);
@@ -88,7 +88,7 @@
     out.mEvicted.push_back(last->mRequest.mExecution);
     Erase(last);
   }
-  ++mWaitingByRank[{ !aRequest.mIsNested, aRequest.mPriority }];
+  ++mWaitingByRank[{ aRequest.mPriority, !aRequest.mIsNested }];
   mIndex.emplace(aRequest.mExecution, mQueue.insert(entry).first);
   out.mQueued = true;
   return out;
@@ -158,26 +158,23 @@
 TargetGate::Erase(Queue::iterator aPlace)
 {
   const GateRequest& request = aPlace->mRequest;
-  --mWaitingByRank[{ !request.mIsNested, request.mPriority }];
+  --mWaitingByRank[{ request.mPriority, !request.mIsNested }];
   mIndex.erase(request.mExecution);
   return mQueue.erase(aPlace);
 }
 
-double
-TargetGate::Pressure(uint32_t aPriority, bool aIsNested) const
+Duration
+TargetGate::WaitOf(uint32_t aPriority, bool aIsNested) const
 {
-  if (mLimit == 0) {
-    return 0;
+  if (mRunning < mLimit || mLimit == 0) {
+    return Duration::zero();
   }
-  const std::pair rank{ !aIsNested, aPriority };
+  const std::pair rank{ aPriority, !aIsNested };
   size_t ahead = 0;
   for (const auto& [other, count] : mWaitingByRank) {
     ahead += other <= rank ? count : 0;
   }
-  const double used = double(mRunning) / double(mLimit);
-  return ahead == 0
-           ? std::min(1.0, used)
-           : 1 + ToSeconds(ExpectedWait(ahead)) / ToSeconds(kFullQueue);
+  return ExpectedWait(ahead);
 }
 
 } // namespace amaranthgap
--- a/libs/proxy/include/proxy/Forwarder.h
+++ b/libs/proxy/include/proxy/Forwarder.h
@@ -10,7 +10,7 @@
 
 #include "base/Logger.h"
 #include "base/Rng.h"
-#include "forwarding/PriorityThrottle.h"
+#include "forwarding/EntryAdmission.h"
 #include "forwarding/RetryPolicy.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/TargetPicker.h"
@@ -58,11 +58,12 @@
                            std::function<void(ForwardReply)>)>
       mSend;
     std::function<void(TimePoint, const std::string&, uint64_t)> mCancel;
-    /** @return the priority of the request that made this one, by its id;
-     * nothing unless that request runs on the upstream beside this node. */
-    std::function<std::optional<uint32_t>(std::string_view)> mParentPriority;
-    /** Takes the pressure that a nested call of that priority met. */
-    std::function<void(TimePoint, uint32_t, double)> mPressureBelow;
+    /** @return the request that made this one, by the id of this one; null
+     * unless that request runs on the upstream beside this node. */
+    std::function<const ForwardRequest*(std::string_view)> mParent;
+    /** Takes what the targets of a nested request can take, by the kind of the
+     * request that made it. */
+    std::function<void(TimePoint, const CallKind&, const TreeLoad&)> mLoadBelow;
   };
 
   Forwarder(Logger& aLogger, Options aOptions, Outlets aOutlets);
@@ -89,11 +90,15 @@
 
   void Refuse(RequestHandle aHandle, int aStatus);
   RetryRatio& RetriesOf(const std::string& aService);
+  /** Chooses the service and, for a first request, the region.
+   * @return whether the request may go on. */
+  bool Admit(TimePoint aNow, Call& aCall);
   /** @return whether the request has what every request must have. */
   bool ReadCall(TimePoint aNow, Call& aCall, HttpRequest& aRequest);
   void Attempt(TimePoint aNow, Call& aCall);
   void AttemptEnded(TimePoint aNow, Call& aCall, ForwardReply aReply);
   void NoteReply(TimePoint aNow, const Call& aCall, const ForwardReply& aReply);
+  void NoteNeed(TimePoint aNow, const Call& aCall, const ForwardReply& aReply);
   void GiveUp(TimePoint aNow, Call& aCall, AttemptReason aReason);
   void Answer(Call& aCall, HttpResponse aResponse);
   void Remove(Call& aCall);
@@ -109,8 +114,9 @@
   RouteTablePtr mRoutes;
   ShareChooser mShares;
   TargetPicker mPicker;
-  PriorityThrottle mThrottle;
+  EntryAdmission mAdmission;
   std::map<std::string, RetryRatio> mRetries; ///< By service.
+  std::map<std::string, RouteNeed> mNeeds;    ///< Smoothed, by route.
   ForwarderCounts mCounts;
   bool mStopped = false;
   std::map<RequestHandle, std::unique_ptr<Call>> mCalls;
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "base/Logger.h"
+#include "forwarding/CapacityPlan.h"
 #include "forwarding/TargetGate.h"
+#include "forwarding/TreeLoad.h"
 #include "http/ClientConnection.h"
 #include "net/EventLoop.h"
 #include "proxy/Binding.h"
@@ -49,12 +51,13 @@
   /** Ends what is overdue. */
   void Tick(TimePoint aNow);
 
-  /** @return the priority of the running request with that id, if any. */
-  [[nodiscard]] std::optional<uint32_t> PriorityOfRunning(
-    const std::string& aRequestId) const;
-  /** Notes the pressure that calls of the upstream met below.
-   * @param aPriority of the request that made the calls. */
-  void NotePressureBelow(TimePoint aNow, uint32_t aPriority, double aPressure);
+  /** @return the request under way with that id, or null. */
+  [[nodiscard]] const ForwardRequest* Find(const std::string& aRequestId) const;
+  /** Notes what the targets of a call can take.
+   * @param aParent the request that made the call. */
+  void NoteLoadBelow(TimePoint aNow,
+                     const CallKind& aParent,
+                     const TreeLoad& aLoad);
 
   [[nodiscard]] bool TakesWork() const { return mTakesWork && !mIsDown; }
   [[nodiscard]] uint32_t Limit() const { return mGate.Limit(); }
@@ -70,13 +73,6 @@
 private:
   struct Attempt;
 
-  /** Smoothed pressure that calls met below. */
-  struct PressureBelow
-  {
-    double mValue = 0;
-    TimePoint mTime{};
-  };
-
   void Start(TimePoint aNow, Attempt& aAttempt);
   void StartNext(TimePoint aNow);
   void Answered(ExecutionId aExecution,
@@ -88,26 +84,33 @@
   void Finish(ExecutionId aExecution, ForwardReply aReply);
   void SetDown(const char* aReason);
   std::unique_ptr<ClientConnection> TakeConnection(TimePoint aNow);
-  /** @return the load as a request of that rank meets it. */
-  [[nodiscard]] GateLoad Load(TimePoint aNow,
-                              const ForwardRequest& aRequest) const;
+  /** Logs what the upstream cannot take, once a second. */
+  void LogOverload(TimePoint aNow);
+  /** Notes that a running attempt holds its slot no more.
+   * @param aRun how long it ran; zero when that tells nothing. */
+  void FreeSlot(TimePoint aNow, Attempt& aAttempt, Duration aRun);
+  /** @return the load as such a request meets it. */
+  [[nodiscard]] GateLoad Load(TimePoint aNow, const ForwardRequest& aRequest);
 
   EventLoop& mLoop;
   Logger& mLogger;
   Options mOptions;
   TargetGate mGate;
+  CapacityPlan mPlan;
   std::string mService;
   std::string mInstance;
   bool mTakesWork = false;
   bool mIsDown = false; ///< Seen by its connections, until its next report.
   bool mStopped = false;
   uint32_t mSlots = 0;
+  TimePoint mOverloadLogged{};
   uint64_t mLastId = 0;
   std::unordered_map<ExecutionId, std::unique_ptr<Attempt>> mAttempts;
   std::multimap<TimePoint, ExecutionId> mByDeadline;
   std::unordered_map<std::string, ExecutionId> mByRequest;
   std::vector<std::unique_ptr<ClientConnection>> mIdle;
-  std::map<uint32_t, PressureBelow> mPressureBelow; ///< By priority.
+  std::map<CallKind, SmoothedLoad> mLoadsBelow; ///< Of the calls they make.
+  std::map<CallKind, double> mRunMillis;        ///< Smoothed.
   std::function<void()> mOnChange;
 };
 
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -20,6 +20,12 @@
 constexpr double kEarliestReturnShare = 0.1;
 constexpr double kThousandths = 1000;
 
+// Weight of one answer in what requests of its route need on the mean.
+constexpr double kNeedWeight = 0.1;
+constexpr double kBytesPerKilobyte = 1000;
+// Headers and framing of a request and its answer between nodes, on the mean.
+constexpr double kHeaderBytes = 500;
+
 // Retries of a node for each first attempt to a service: a quarter of what the
 // users allow the fleet, as a retry repeats the calls below it as well.
 constexpr double kRetryRatio = 0.05;
@@ -47,6 +53,8 @@
   RouteTablePtr mRoutes; ///< In force when it arrived; owns mRoute.
   const Route* mRoute = nullptr;
   std::string mService;
+  std::string mDataCentre; ///< Where it is to run; empty for any.
+  CallKind mParent;        ///< Of the request that made it.
   ForwardRequest mRequest; ///< As sent with the first attempt.
   TimePoint mArrived;
   TimePoint mCallerDeadline;
@@ -65,7 +73,7 @@
   , mOutlets(std::move(aOutlets))
   , mRng(mOptions.mSeed)
   , mPicker(mOptions.mPicker)
-  , mThrottle(mRng.Next())
+  , mAdmission(mRng.Next())
 {
 }
 
@@ -154,19 +162,15 @@
   call.mHistory.mMaxArrivals = route.mMaxAttempts;
   ForwardRequest& request = call.mRequest;
   request.mCallerService = mOptions.mService;
+  request.mRoute = route.mName;
   request.mPriority = route.mPriority;
   request.mIdempotent = route.mIdempotent;
   request.mLatencyTargetMs = uint32_t(ToMillis(route.mLatencyTarget));
-  if (const auto parent = mOutlets.mParentPriority(request.mRequestId)) {
-    request.mIsNested = true;
-    request.mPriority = *parent; // A tree is as important as its root.
-  }
   call.mService = mShares.Choose(route);
   request.mService = call.mService;
   mByDeadline.emplace(call.mDeadline, aHandle);
   mCalls.emplace(aHandle, std::move(owned));
-  if (!request.mIsNested &&
-      !mThrottle.Admit(aNow, route.mName, route.mPriority)) {
+  if (!Admit(aNow, call)) {
     ++mCounts.mThrottled;
     GiveUp(aNow, call, AttemptReason::Throttled);
     return;
@@ -175,10 +179,44 @@
   Attempt(aNow, call);
 }
 
+bool
+Forwarder::Admit(TimePoint aNow, Call& aCall)
+{
+  ForwardRequest& request = aCall.mRequest;
+  if (const auto* parent = mOutlets.mParent(request.mRequestId)) {
+    // A tree is as important as its root, and was admitted there.
+    request.mIsNested = true;
+    request.mPriority = parent->mPriority;
+    request.mShare = parent->mShare;
+    aCall.mParent = KindOf(*parent);
+    return true;
+  }
+  const auto places = mPicker.PlacesOf(aNow, aCall.mService);
+  if (places.empty()) {
+    return true; // There is no target, which is what the answer will tell.
+  }
+  const auto admitted =
+    mAdmission.Admit(aNow, request.mRoute, mNeeds[request.mRoute], places);
+  if (!admitted) {
+    return false;
+  }
+  aCall.mDataCentre = admitted->mDataCentre;
+  request.mShare = uint32_t(admitted->mShare * kThousandths);
+  return true;
+}
+
 void
 Forwarder::Attempt(TimePoint aNow, Call& aCall)
 {
-  const auto target = mPicker.Choose(aNow, aCall.mService, aCall.mTried);
+  const ForwardRequest& first = aCall.mRequest;
+  const auto target =
+    mPicker.Choose(aNow,
+                   { .mService = aCall.mService,
+                     .mKind = KindOf(first),
+                     .mLatencyTarget = aCall.mRoute->mLatencyTarget,
+                     .mKilobytes = mNeeds[first.mRoute].mKilobytes,
+                     .mDataCentre = aCall.mDataCentre },
+                   aCall.mTried);
   if (!target) {
     GiveUp(aNow, aCall, aCall.mLastReason);
     return;
@@ -210,30 +248,53 @@
                      const ForwardReply& aReply)
 {
   const std::string& node = aCall.mNode;
-  const double pressure = aReply.mLoad.mPressure / kThousandths;
+  const ForwardRequest& request = aCall.mRequest;
+  TargetPicker::Result result{ .mKind = KindOf(request) };
   switch (aReply.mReason) {
     case AttemptReason::PeerLost:
     case AttemptReason::NotConnected:
     case AttemptReason::ConnectionLost:
       mPicker.Failed(aNow, node);
       return;
-    case AttemptReason::NoRoom:
-    case AttemptReason::UpstreamRefused:
     case AttemptReason::Leaving:
     case AttemptReason::OtherInstance:
-      mPicker.Replied(aNow, node, aReply.mLoad);
-      mPicker.Refused(aNow, node);
+      mPicker.Abandoned(node); // It tells its new state by itself.
+      return;
+    case AttemptReason::NoRoom:
+      result.mIsRefused = true;
+      break;
+    case AttemptReason::UpstreamRefused:
+    case AttemptReason::InvalidResponse:
+      result.mIsFailed = true;
       break;
     default:
-      mPicker.Replied(aNow, node, aReply.mLoad);
       break;
   }
-  const bool refused = aReply.mReason == AttemptReason::NoRoom;
-  if (aCall.mRequest.mIsNested) {
-    mOutlets.mPressureBelow(aNow, aCall.mRequest.mPriority, pressure);
+  mPicker.Replied(aNow, node, result, aReply.mLoad);
+  const TreeLoad load{ .mShare = aReply.mLoad.mShare / kThousandths,
+                       .mDemand = aReply.mLoad.mDemand / kThousandths };
+  if (request.mIsNested) {
+    mOutlets.mLoadBelow(aNow, aCall.mParent, load);
   } else {
-    mThrottle.Replied(aNow, aCall.mRoute->mName, pressure, refused);
+    mAdmission.Replied(aNow, request.mRoute, mPicker.DataCentreOf(node), load);
   }
+  if (aReply.mOutcome == AttemptOutcome::Answered) {
+    NoteNeed(aNow, aCall, aReply);
+  }
+}
+
+void
+Forwarder::NoteNeed(TimePoint aNow,
+                    const Call& aCall,
+                    const ForwardReply& aReply)
+{
+  const double bytes = double(aCall.mRequest.mHttp.mBody.size()) +
+                       double(aReply.mHttp.mBody.size()) + kHeaderBytes;
+  const double millis = ToSeconds(aNow - aCall.mArrived) * kThousandths;
+  RouteNeed& need = mNeeds[aCall.mRequest.mRoute];
+  need.mKilobytes +=
+    kNeedWeight * (bytes / kBytesPerKilobyte - need.mKilobytes);
+  need.mMillis += kNeedWeight * (millis - need.mMillis);
 }
 
 void
@@ -290,7 +351,7 @@
       { "after_ms", std::to_string(ToMillis(aNow - aCall.mArrived)) },
       { "routes_version", fmt::format("{:08x}", aCall.mRoutes->Version()) },
       { "share",
-        fmt::format("{:.2f}", mThrottle.Share(aCall.mRoute->mName)) } });
+        fmt::format("{:.2f}", mAdmission.Share(aCall.mRoute->mName)) } });
 }
 
 void
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -141,16 +141,16 @@
               mLinks.Cancel(aNode, aCall);
             }
           },
-        .mParentPriority =
-          [this](std::string_view aRequestId) -> std::optional<uint32_t> {
+        .mParent =
+          [this](std::string_view aRequestId) -> const ForwardRequest* {
           const auto parent = mBinding.mParentId(aRequestId);
-          return parent.empty()
-                   ? std::nullopt
-                   : mUpstream.PriorityOfRunning(std::string(parent));
+          return parent.empty() ? nullptr : mUpstream.Find(std::string(parent));
         },
-        .mPressureBelow =
-          [this](TimePoint aNow, uint32_t aPriority, double aPressure) {
-            mUpstream.NotePressureBelow(aNow, aPriority, aPressure);
+        .mLoadBelow =
+          [this](TimePoint aNow,
+                 const CallKind& aParent,
+                 const TreeLoad& aLoad) {
+            mUpstream.NoteLoadBelow(aNow, aParent, aLoad);
           } })
   , mCallers(mLoop,
              { .mRequest =
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -1,6 +1,7 @@
 #include "proxy/UpstreamSide.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include <fmt/format.h>
@@ -13,9 +14,8 @@
 
 constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kUserTimeout = seconds(2);
-// Time in which pressure below is forgotten unless it is seen again.
-constexpr double kPressureMemorySeconds = 0.3;
-constexpr double kPressureWeight = 0.1;
+// Weight of one run in the mean of its route.
+constexpr double kRunWeight = 0.05;
 constexpr double kThousandths = 1000;
 constexpr int kTimeout = 408;
 constexpr int kMisdirected = 421;
@@ -44,6 +44,7 @@
   ExecutionId mId;
   ForwardRequest mRequest;
   TimePoint mDeadline;
+  TimePoint mArrived{};
   TimePoint mStarted{};
   bool mIsRunning = false;
   bool mIsCancelled = false; ///< Goes on without anyone who waits for it.
@@ -74,6 +75,7 @@
   mTakesWork = aTakesWork && !mStopped;
   mIsDown = false;
   mGate.SetSlots(mTakesWork ? mSlots : 0);
+  mPlan.SetLimit(mGate.Limit());
   if (!mTakesWork) {
     for (const ExecutionId it : mGate.RemoveAll()) {
       Refuse(it, AttemptReason::Leaving);
@@ -126,6 +128,7 @@
   auto& attempt = mAttempts[id];
   attempt = std::make_unique<Attempt>();
   attempt->mId = id;
+  attempt->mArrived = aNow;
   attempt->mDeadline = aNow + milliseconds(aRequest.mTimeLeftMs);
   attempt->mRequest = std::move(aRequest);
   attempt->mDone = std::move(aDone);
@@ -146,6 +149,7 @@
     mLoop.Defer([this, id, reason] { Refuse(id, reason); });
     return id;
   }
+  mPlan.Arrived(aNow, request.mPriority, request.mShare / kThousandths);
   const auto verdict =
     mGate.Offer(aNow,
                 { .mExecution = id,
@@ -188,6 +192,7 @@
   const HeaderNames& names = mOptions.mHeaders;
   aAttempt.mIsRunning = true;
   aAttempt.mStarted = aNow;
+  mPlan.Started(aNow, aAttempt.mRequest.mPriority, aNow - aAttempt.mArrived);
   HttpRequest http = aAttempt.mRequest.mHttp;
   const auto left = ToMillis(aAttempt.mDeadline - aNow);
   http.mHeaders.emplace_back(names.mRequestId, aAttempt.mRequest.mRequestId);
@@ -262,10 +267,10 @@
   if (attempt.mConnection->IsReusable(now)) {
     mIdle.push_back(std::move(attempt.mConnection));
   }
-  mGate.Finished(reply.mOutcome == AttemptOutcome::Answered
-                   ? now - attempt.mStarted
-                   : Duration::zero());
-  attempt.mIsRunning = false;
+  FreeSlot(now,
+           attempt,
+           reply.mOutcome == AttemptOutcome::Answered ? now - attempt.mStarted
+                                                      : Duration::zero());
   if (reply.mReason == AttemptReason::NotConnected) {
     SetDown("connection refused");
   } else if (reply.mReason == AttemptReason::OtherInstance) {
@@ -275,6 +280,20 @@
   StartNext(now);
 }
 
+void
+UpstreamSide::FreeSlot(TimePoint aNow, Attempt& aAttempt, Duration aRun)
+{
+  aAttempt.mIsRunning = false;
+  mGate.Finished(aRun);
+  mPlan.Ended(aNow, aAttempt.mRequest.mPriority, aRun);
+  if (aRun > Duration::zero()) {
+    const double run = ToSeconds(aRun) * kThousandths;
+    const auto [it, isNew] =
+      mRunMillis.try_emplace(KindOf(aAttempt.mRequest), run);
+    it->second += isNew ? 0 : kRunWeight * (run - it->second);
+  }
+}
+
 void
 UpstreamSide::StartNext(TimePoint aNow)
 {
@@ -325,6 +344,9 @@
         { "limit", std::to_string(mGate.Limit()) },
         { "left_ms", std::to_string(ToMillis(attempt->mDeadline - now)) } });
   }
+  if (aReply.mReason == AttemptReason::NoRoom) {
+    mPlan.Refused(now, attempt->mRequest.mPriority);
+  }
   aReply.mLoad = Load(now, attempt->mRequest);
   if (!attempt->mIsCancelled) {
     attempt->mDone(std::move(aReply));
@@ -350,7 +372,7 @@
   reply.mReason = AttemptReason::CallerGone;
   if (attempt.mIsRunning) {
     attempt.mConnection->Abort();
-    mGate.Finished(Duration::zero());
+    FreeSlot(aNow, attempt, Duration::zero());
     reply.mOutcome = AttemptOutcome::MayHaveRun;
   } else {
     mGate.Remove(aExecution);
@@ -372,7 +394,7 @@
     reply.mReason = AttemptReason::Expired;
     if (attempt.mIsRunning) {
       attempt.mConnection->Abort();
-      mGate.Finished(Duration::zero());
+      FreeSlot(aNow, attempt, Duration::zero());
       reply.mOutcome = AttemptOutcome::MayHaveRun;
     } else {
       mGate.Remove(id);
@@ -382,45 +404,79 @@
   std::erase_if(mIdle,
                 [&](const auto& aOne) { return !aOne->IsReusable(aNow); });
   StartNext(aNow);
+  LogOverload(aNow);
 }
 
-std::optional<uint32_t>
-UpstreamSide::PriorityOfRunning(const std::string& aRequestId) const
+void
+UpstreamSide::LogOverload(TimePoint aNow)
 {
-  const auto it = mByRequest.find(aRequestId);
-  if (it == mByRequest.end()) {
-    return std::nullopt;
+  constexpr Duration kPause = seconds(1);
+  if (aNow - mOverloadLogged < kPause) {
+    return;
+  }
+  std::vector<LogField> fields{ { "instance", mInstance },
+                                { "running", std::to_string(mGate.Running()) },
+                                { "waiting", std::to_string(mGate.Waiting()) },
+                                { "limit", std::to_string(mGate.Limit()) } };
+  struct Names
+  {
+    std::string_view mShare;
+    std::string_view mDemand;
+    std::string_view mArriving;
+  };
+  constexpr std::array<Names, 3> kNames{ {
+    { "share_0", "demand_0", "arriving_0" },
+    { "share_1", "demand_1", "arriving_1" },
+    { "share_2", "demand_2", "arriving_2" },
+  } };
+  bool isOverloaded = false;
+  for (uint32_t priority = 0; priority < kNames.size(); ++priority) {
+    const Names& names = kNames[priority];
+    const TreeLoad load = mPlan.Load(aNow, priority);
+    isOverloaded |= load.mShare < 1;
+    fields.push_back({ names.mShare, fmt::format("{:.2f}", load.mShare) });
+    fields.push_back({ names.mDemand, fmt::format("{:.2f}", load.mDemand) });
+    fields.push_back({ names.mArriving,
+                       fmt::format("{:.1f}", mPlan.Arriving(aNow, priority)) });
+  }
+  if (isOverloaded) {
+    mOverloadLogged = aNow;
+    mLogger.Write(aNow, LogLevel::Info, "upstream-overloaded", fields);
   }
-  return mAttempts.at(it->second)->mRequest.mPriority;
+}
+
+const ForwardRequest*
+UpstreamSide::Find(const std::string& aRequestId) const
+{
+  const auto it = mByRequest.find(aRequestId);
+  return it == mByRequest.end() ? nullptr : &mAttempts.at(it->second)->mRequest;
 }
 
 void
-UpstreamSide::NotePressureBelow(TimePoint aNow,
-                                uint32_t aPriority,
-                                double aPressure)
+UpstreamSide::NoteLoadBelow(TimePoint aNow,
+                            const CallKind& aParent,
+                            const TreeLoad& aLoad)
 {
-  PressureBelow& below = mPressureBelow[aPriority];
-  const double age = ToSeconds(aNow - below.mTime);
-  const double weight =
-    std::max(kPressureWeight, 1 - std::exp(-age / kPressureMemorySeconds));
-  below.mValue += weight * (aPressure - below.mValue);
-  below.mTime = aNow;
+  mLoadsBelow[aParent].Note(aNow, aLoad);
 }
 
 GateLoad
-UpstreamSide::Load(TimePoint aNow, const ForwardRequest& aRequest) const
+UpstreamSide::Load(TimePoint aNow, const ForwardRequest& aRequest)
 {
-  double pressure = mGate.Pressure(aRequest.mPriority, aRequest.mIsNested);
-  if (const auto it = mPressureBelow.find(aRequest.mPriority);
-      it != mPressureBelow.end()) {
-    const double age = ToSeconds(aNow - it->second.mTime);
-    pressure = std::max(
-      pressure, it->second.mValue * std::exp(-age / kPressureMemorySeconds));
+  TreeLoad tree = mPlan.Load(aNow, aRequest.mPriority);
+  const CallKind kind = KindOf(aRequest);
+  if (const auto it = mLoadsBelow.find(kind); it != mLoadsBelow.end()) {
+    tree = TreeLoad::Tighter(tree, it->second.Value(aNow));
   }
+  const auto run = mRunMillis.find(kind);
+  const Duration wait = mGate.WaitOf(aRequest.mPriority, aRequest.mIsNested);
   return { .mRunning = mGate.Running(),
            .mWaiting = uint32_t(mGate.Waiting()),
            .mLimit = mGate.Limit(),
-           .mPressure = uint32_t(pressure * kThousandths) };
+           .mWaitMs = uint32_t(ToMillis(wait)),
+           .mRunMs = run == mRunMillis.end() ? 0 : uint32_t(run->second),
+           .mShare = uint32_t(tree.mShare * kThousandths),
+           .mDemand = uint32_t(tree.mDemand * kThousandths) };
 }
 
 } // namespace amaranthgap
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -48,10 +48,16 @@
   uint32_t mRunning = 0;
   uint32_t mWaiting = 0;
   uint32_t mLimit = 0;
-  /** Highest pressure that the request or its calls met, in thousandths. */
-  uint32_t mPressure = 0;
-
-  MSGPACK_DEFINE(mRunning, mWaiting, mLimit, mPressure)
+  uint32_t mWaitMs = 0; ///< Until such a request would get a slot.
+  uint32_t mRunMs = 0;  ///< Mean time of the route's requests at the upstream.
+  /** Part of such requests that this target and those below it can take, in
+   * thousandths. */
+  uint32_t mShare = 1000;
+  /** Demand of such requests and of more important ones, before any refusal, in
+   * thousandths of the capacity of the busiest target. */
+  uint32_t mDemand = 0;
+
+  MSGPACK_DEFINE(mRunning, mWaiting, mLimit, mWaitMs, mRunMs, mShare, mDemand)
 };
 
 /** One attempt at a target. */
@@ -62,12 +68,16 @@
   std::string mCallerService; ///< Service of the host that the request entered.
   std::string mService;
   std::string mInstance;
+  std::string mRoute;
   uint32_t mTimeLeftMs = 0;
   uint32_t mLatencyTargetMs = 0;
   uint32_t mPriority = 0;
   bool mIdempotent = false;
   bool mIsNested = false; ///< Called by a request that already runs.
   bool mIsRetry = false;
+  /** Part of such requests that was admitted at the entry of the whole tree,
+   * in thousandths. */
+  uint32_t mShare = 1000;
   HttpRequest mHttp;
 
   MSGPACK_DEFINE(mCall,
@@ -75,15 +85,33 @@
                  mCallerService,
                  mService,
                  mInstance,
+                 mRoute,
                  mTimeLeftMs,
                  mLatencyTargetMs,
                  mPriority,
                  mIdempotent,
                  mIsNested,
                  mIsRetry,
+                 mShare,
                  mHttp)
 };
 
+/** Requests that meet the same load: of one route, with the priority of the
+ * request at the root of their tree. */
+struct CallKind
+{
+  std::string mRoute;
+  uint32_t mPriority = 0;
+
+  auto operator<=>(const CallKind&) const = default;
+};
+
+inline CallKind
+KindOf(const ForwardRequest& aRequest)
+{
+  return { aRequest.mRoute, aRequest.mPriority };
+}
+
 /** What became of an attempt. */
 enum class AttemptOutcome : uint8_t
 {
