Report loads between nodes, and leave places where requests fail

Entry nodes see about one request of a kind a second, too few to learn from replies how another place fares, and probes of their own cost as many requests again.

Now a node reports, twice a second and only while there is something to tell, which kinds of first requests it cannot take whole or that fail there (KindLog).

--- a/libs/forwarding/include/forwarding/Distance.h
+++ b/libs/forwarding/include/forwarding/Distance.h
@@ -23,7 +23,7 @@
 DistanceCost(Distance aDistance, double aKilobytes)
 {
   constexpr std::array<double, kDistances> kRoundTripMillis{ 0, 2, 40 };
-  constexpr std::array<double, kDistances> kKilobyteMillis{ 0, 30, 150 };
+  constexpr std::array<double, kDistances> kKilobyteMillis{ 0, 25, 100 };
   const auto at = size_t(aDistance);
   return kRoundTripMillis[at] + aKilobytes * kKilobyteMillis[at];
 }
--- a/libs/forwarding/include/forwarding/EntryAdmission.h
+++ b/libs/forwarding/include/forwarding/EntryAdmission.h
@@ -30,8 +30,11 @@
  * which their whole tree of calls is to run. Answers an overload anywhere
  * below, as replies tell it (see CapacityPlan): what the own data centre cannot
  * take is offered to one that can take more, and the rest is refused before any
- * work is done for it. Moving the root moves the whole tree for the bytes of
- * one message. Not safe for use by several threads. */
+ * work is done for it. Answers targets that are too slow for a kind of requests
+ * as well: where many fail, part of them goes where fewer do, and where almost
+ * all fail, most are refused as not run instead. Moving the root moves the
+ * whole tree for the bytes of one message. Not safe for use by several threads.
+ */
 class EntryAdmission
 {
 public:
@@ -52,11 +55,12 @@
                                 const std::string& aRoute,
                                 const RouteNeed& aNeed,
                                 const std::vector<Place>& aPlaces);
-  /** Notes the load that a reply to an admitted request told. */
-  void Replied(TimePoint aNow,
-               const std::string& aRoute,
-               const std::string& aDataCentre,
-               const TreeLoad& aLoad);
+  /** Notes the load of a place, as a reply or a report of its node tells it. A
+   * place that tells nothing for a while is taken for idle. */
+  void Told(TimePoint aNow,
+            const std::string& aRoute,
+            const std::string& aDataCentre,
+            const TreeLoad& aLoad);
 
   /** @return the part of the requests that was admitted lately. */
   [[nodiscard]] double Share(const std::string& aRoute) const;
@@ -75,12 +79,20 @@
      * one. */
     double mMoved = 0;
     TimePoint mMovedTime{};
-    TimePoint mNextProbe{};
+    /** Part of all requests that leaves for a place where fewer fail. */
+    double mLeaving = 0;
+    TimePoint mLeavingTime{};
     double mAdmittedShare = 1; ///< Smoothed.
   };
 
   /** @return the nearest place; one of those at random. */
   const Place& Nearest(const std::vector<Place>& aPlaces);
+  /** Offers part of the requests to a place where fewer of them fail. */
+  std::optional<Admitted> OfferToBetter(TimePoint aNow,
+                                        Route& aRoute,
+                                        const RouteNeed& aNeed,
+                                        const std::vector<Place>& aPlaces,
+                                        const Place& aNearest);
   /** Offers a request that the nearest place does not take to another one. */
   std::optional<Admitted> OfferElsewhere(TimePoint aNow,
                                          Route& aRoute,
--- a/libs/forwarding/include/forwarding/TreeLoad.h
+++ b/libs/forwarding/include/forwarding/TreeLoad.h
@@ -7,11 +7,27 @@
 /** What the targets that a request and its calls reach can take. */
 struct TreeLoad
 {
+  /** Share from which on everything is admitted, and failures as they happen
+   * everywhere. */
+  static constexpr double kWholeShare = 0.98;
+  static constexpr double kUsualFailure = 0.03;
+
   /** Part of such requests that is to be admitted, in (0, 1]. */
   double mShare = 1;
   /** Demand of such requests and of more important ones, before any refusal,
    * as a part of the capacity of the busiest target. */
   double mDemand = 0;
+  /** Part of such requests that failed there after they were admitted. */
+  double mFailure = 0;
+
+  /** @return the part of such requests that is admitted and served. */
+  [[nodiscard]] double Value() const { return mShare * (1 - mFailure); }
+
+  /** @return whether others have to know it, as it is not what they assume. */
+  [[nodiscard]] bool IsWorthTelling() const
+  {
+    return mShare < kWholeShare || mFailure > kUsualFailure;
+  }
 
   /** @return the tighter of two, as both have to be passed. */
   [[nodiscard]] static TreeLoad Tighter(const TreeLoad& aOne,
@@ -26,10 +42,6 @@
 public:
   void Note(TimePoint aNow, const TreeLoad& aLoad);
   [[nodiscard]] TreeLoad Value(TimePoint aNow) const;
-  /** @return what was told last, however old. */
-  [[nodiscard]] const TreeLoad& Latest() const { return mValue; }
-  /** @return when it was told last. */
-  [[nodiscard]] TimePoint Time() const { return mTime; }
 
 private:
   TreeLoad mValue;
--- a/libs/forwarding/src/CapacityPlan.cpp
+++ b/libs/forwarding/src/CapacityPlan.cpp
@@ -17,7 +17,7 @@
 constexpr double kTargetUse = 1.0;
 // Part of the capacity that each priority gets if it needs it, so that a small
 // kind of request is not refused for the swings of a large one.
-constexpr double kReserved = 0.07;
+constexpr double kReserved = 0.10;
 // Waits of the least important requests between which the plan is kept. They
 // wait at each of the calls of a tree, one after the other.
 constexpr double kShortWaitSeconds = 0.008;
--- a/libs/forwarding/src/EntryAdmission.cpp
+++ b/libs/forwarding/src/EntryAdmission.cpp
@@ -1,32 +1,61 @@
 #include "forwarding/EntryAdmission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthgap {
 
 namespace {
 
-// How much higher the share of another place has to be before requests go
-// there: in any case, and for a way that costs as much as the request takes
-// anyway.
+// How much more of the requests another place has to admit, or to serve, before
+// they go there: in any case, and for a way that costs as much as the request
+// takes anyway. A request that is refused may come back, one that fails is
+// lost.
 constexpr double kLeastGain = 0.05;
-constexpr double kGainForCost = 0.3;
+constexpr double kAdmittedGainForCost = 0.3;
+constexpr double kServedGainForCost = 0.1;
 // How fast the part that is offered elsewhere may grow, a second: replies show
 // the effect after half a second.
 constexpr double kMoveRate = 1;
-// Age from which on the load of another place counts as unknown. One of those
-// gets a request now and then, whose reply tells it.
-constexpr Duration kFresh = seconds(2);
-constexpr Duration kProbePause = seconds(1);
+// Part of the requests that leaves for a place where fewer fail: how many of
+// them for each part that fails more here, and the most. The rest shows when
+// this place is better again.
+constexpr double kLeavingGain = 12;
+constexpr double kMostLeaving = 0.95;
+// Demand from which on a place counts as busy.
+constexpr double kBusyDemand = 0.85;
+// Failures from which on other places are looked at.
+constexpr double kNoticedFailure = 0.03;
+// Failures beyond which requests are refused instead of tried, and the part
+// that is tried all the same and shows when they are served again.
+constexpr double kHopelessFailure = 0.6;
+constexpr double kLeastUseful = 0.15;
 // Weight of one request in the smoothed share of admitted ones.
 constexpr double kShareWeight = 0.05;
 
+// Returns the part of the requests that a place is worth being sent.
 double
-NeededGain(const Place& aPlace, const RouteNeed& aNeed)
+UsefulShare(const TreeLoad& aLoad)
+{
+  const double served = (1 - aLoad.mFailure) / (1 - kHopelessFailure);
+  return aLoad.mShare * std::clamp(served, kLeastUseful, 1.0);
+}
+
+// Returns how far a part of the requests may move since the last time.
+double
+MoveStep(TimePoint aNow, TimePoint& aLast)
+{
+  constexpr double kLongestSeconds = 0.3;
+  const double seconds = ToSeconds(aNow - std::exchange(aLast, aNow));
+  return kMoveRate * std::clamp(seconds, 0.0, kLongestSeconds);
+}
+
+double
+NeededGain(const Place& aPlace, const RouteNeed& aNeed, double aGainForCost)
 {
   const double cost = DistanceCost(aPlace.mDistance, aNeed.mKilobytes);
   return kLeastGain +
-         kGainForCost * std::min(1.0, cost / std::max(1.0, aNeed.mMillis));
+         aGainForCost * std::min(1.0, cost / std::max(1.0, aNeed.mMillis));
 }
 
 } // namespace
@@ -58,6 +87,48 @@
   return Admitted{ .mDataCentre = aPlace.mDataCentre, .mShare = aShare };
 }
 
+std::optional<EntryAdmission::Admitted>
+EntryAdmission::OfferToBetter(TimePoint aNow,
+                              Route& aRoute,
+                              const RouteNeed& aNeed,
+                              const std::vector<Place>& aPlaces,
+                              const Place& aNearest)
+{
+  const TreeLoad own = aRoute.mSites[aNearest.mDataCentre].mLoad.Value(aNow);
+  if (own.mFailure < kNoticedFailure && aRoute.mLeaving <= 0) {
+    return std::nullopt;
+  }
+  const Place* chosen = nullptr;
+  double chosenShare = 1;
+  double chosenGain = 0;
+  double gains = 0;
+  for (const Place& it : aPlaces) {
+    const TreeLoad load = aRoute.mSites[it.mDataCentre].mLoad.Value(aNow);
+    const double gain =
+      load.Value() - own.Value() - NeededGain(it, aNeed, kServedGainForCost);
+    // Under an overload requests fail for want of room, and the shares tell
+    // where that is.
+    const bool isBusy = std::max(load.mDemand, own.mDemand) > kBusyDemand;
+    if (&it == &aNearest || gain <= 0 || isBusy) {
+      continue;
+    }
+    gains += gain;
+    if (mRng.Uniform() * gains < gain) {
+      chosen = &it;
+      chosenShare = UsefulShare(load);
+      chosenGain = gain;
+    }
+  }
+  const double wanted = std::min(kMostLeaving, kLeavingGain * chosenGain);
+  const double step = MoveStep(aNow, aRoute.mLeavingTime);
+  aRoute.mLeaving =
+    std::clamp(wanted, aRoute.mLeaving - step, aRoute.mLeaving + step);
+  if (!chosen || mRng.Uniform() >= aRoute.mLeaving) {
+    return std::nullopt;
+  }
+  return Offer(aRoute, *chosen, chosenShare);
+}
+
 std::optional<EntryAdmission::Admitted>
 EntryAdmission::OfferElsewhere(TimePoint aNow,
                                Route& aRoute,
@@ -66,24 +137,16 @@
                                const Place& aNearest)
 {
   const double own =
-    aRoute.mSites[aNearest.mDataCentre].mLoad.Value(aNow).mShare;
-  const Place* unknown = nullptr;
-  uint64_t unknowns = 0;
+    UsefulShare(aRoute.mSites[aNearest.mDataCentre].mLoad.Value(aNow));
   const Place* chosen = nullptr;
   double chosenShare = own;
   double gains = 0;
   for (const Place& it : aPlaces) {
-    if (&it == &aNearest) {
-      continue;
-    }
-    const SmoothedLoad& load = aRoute.mSites[it.mDataCentre].mLoad;
-    if (aNow - load.Time() > kFresh) {
-      unknown = mRng.Below(++unknowns) == 0 ? &it : unknown;
-      continue;
-    }
-    const double share = load.Latest().mShare;
-    const double gain = share - own - NeededGain(it, aNeed);
-    if (gain <= 0) {
+    const double share =
+      UsefulShare(aRoute.mSites[it.mDataCentre].mLoad.Value(aNow));
+    const double gain =
+      share - own - NeededGain(it, aNeed, kAdmittedGainForCost);
+    if (&it == &aNearest || gain <= 0) {
       continue;
     }
     // In proportion to the gain: all entry nodes would crowd the best one.
@@ -93,17 +156,11 @@
       chosenShare = share;
     }
   }
-  if (unknown && aNow >= aRoute.mNextProbe) {
-    aRoute.mNextProbe = aNow + kProbePause;
-    return Admitted{ .mDataCentre = unknown->mDataCentre };
-  }
   // As much as gives the callers of both places the same chance.
   const double wanted =
     chosen ? (chosenShare - own) / (chosenShare * (1 - own)) : 0;
-  const double since =
-    std::clamp(ToSeconds(aNow - aRoute.mMovedTime), 0.0, 1.0);
-  aRoute.mMoved = std::min(wanted, aRoute.mMoved + kMoveRate * since);
-  aRoute.mMovedTime = aNow;
+  aRoute.mMoved =
+    std::min(wanted, aRoute.mMoved + MoveStep(aNow, aRoute.mMovedTime));
   if (!chosen || mRng.Uniform() >= aRoute.mMoved) {
     return std::nullopt;
   }
@@ -118,8 +175,13 @@
 {
   Route& route = mRoutes[aRoute];
   const Place& nearest = Nearest(aPlaces);
-  auto admitted = Offer(
-    route, nearest, route.mSites[nearest.mDataCentre].mLoad.Value(aNow).mShare);
+  auto admitted = OfferToBetter(aNow, route, aNeed, aPlaces, nearest);
+  if (!admitted) {
+    admitted =
+      Offer(route,
+            nearest,
+            UsefulShare(route.mSites[nearest.mDataCentre].mLoad.Value(aNow)));
+  }
   if (!admitted) {
     admitted = OfferElsewhere(aNow, route, aNeed, aPlaces, nearest);
   }
@@ -129,14 +191,12 @@
 }
 
 void
-EntryAdmission::Replied(TimePoint aNow,
-                        const std::string& aRoute,
-                        const std::string& aDataCentre,
-                        const TreeLoad& aLoad)
+EntryAdmission::Told(TimePoint aNow,
+                     const std::string& aRoute,
+                     const std::string& aDataCentre,
+                     const TreeLoad& aLoad)
 {
-  if (const auto it = mRoutes.find(aRoute); it != mRoutes.end()) {
-    it->second.mSites[aDataCentre].mLoad.Note(aNow, aLoad);
-  }
+  mRoutes[aRoute].mSites[aDataCentre].mLoad.Note(aNow, aLoad);
 }
 
 double
--- /dev/null
+++ b/libs/forwarding/src/KindLog.cpp
@@ -0,0 +1,49 @@
+#include "forwarding/KindLog.h"
+
+namespace amaranthgap {
+
+namespace {
+
+// Weight of one run in the mean run time, and in the share of failures. Good
+// runs after many failures count more, as few are tried then.
+constexpr double kRunWeight = 0.05;
+constexpr double kFailureWeight = 0.05;
+constexpr double kManyFailures = 0.5;
+constexpr double kRecoveryWeight = 0.15;
+constexpr double kThousandths = 1000;
+
+} // namespace
+
+void
+KindLog::Ended(const CallKind& aKind, Duration aRun, bool aIsGood)
+{
+  Record& record = mRecords[aKind];
+  const double failed = aIsGood ? 0 : 1;
+  const bool recovers = aIsGood && record.mFailedShare > kManyFailures;
+  record.mFailedShare += (recovers ? kRecoveryWeight : kFailureWeight) *
+                         (failed - record.mFailedShare);
+  if (aIsGood) {
+    const double run = ToSeconds(aRun) * kThousandths;
+    const double weight = record.mRunMillis > 0 ? kRunWeight : 1;
+    record.mRunMillis += weight * (run - record.mRunMillis);
+  }
+}
+
+KindLog::Record
+KindLog::Find(const CallKind& aKind) const
+{
+  const auto it = mRecords.find(aKind);
+  return it == mRecords.end() ? Record{} : it->second;
+}
+
+std::vector<CallKind>
+KindLog::Kinds() const
+{
+  std::vector<CallKind> out;
+  for (const auto& [kind, record] : mRecords) {
+    out.push_back(kind);
+  }
+  return out;
+}
+
+} // namespace amaranthgap
--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -34,7 +34,7 @@
 constexpr double kSlowRun = 3;
 // Demand below a target from which on it costs more, and what an excess of the
 // whole capacity costs, milliseconds.
-constexpr double kBusyDemand = 0.9;
+constexpr double kBusyDemand = 0.8;
 constexpr double kDemandMillis = 150;
 // Weight of one reply in that demand, and how long it counts.
 constexpr double kDemandWeight = 0.1;
--- a/libs/forwarding/src/TreeLoad.cpp
+++ b/libs/forwarding/src/TreeLoad.cpp
@@ -10,8 +10,9 @@
 // Time within which new replies replace old ones, and the least weight of one.
 constexpr double kMemorySeconds = 0.2;
 constexpr double kLeastWeight = 0.1;
-// Without replies a load holds for a time, and is then forgotten within about
-// a second. Slow trees of calls reply after half a second and more.
+// Without news a load holds for a time, and is then forgotten within about a
+// second. Slow trees of calls reply after half a second and more, and busy
+// nodes report once a second.
 constexpr double kHoldSeconds = 0.8;
 constexpr double kForgetSeconds = 0.7;
 
@@ -21,7 +22,8 @@
 TreeLoad::Tighter(const TreeLoad& aOne, const TreeLoad& aOther)
 {
   return { .mShare = std::min(aOne.mShare, aOther.mShare),
-           .mDemand = std::max(aOne.mDemand, aOther.mDemand) };
+           .mDemand = std::max(aOne.mDemand, aOther.mDemand),
+           .mFailure = std::max(aOne.mFailure, aOther.mFailure) };
 }
 
 void
@@ -33,6 +35,7 @@
   const TreeLoad known = Value(aNow);
   mValue.mShare = known.mShare + weight * (aLoad.mShare - known.mShare);
   mValue.mDemand = known.mDemand + weight * (aLoad.mDemand - known.mDemand);
+  mValue.mFailure = known.mFailure + weight * (aLoad.mFailure - known.mFailure);
   mTime = aNow;
 }
 
@@ -42,7 +45,8 @@
   const double age = ToSeconds(aNow - mTime) - kHoldSeconds;
   const double kept = age <= 0 ? 1 : std::exp(-age / kForgetSeconds);
   return { .mShare = 1 - (1 - mValue.mShare) * kept,
-           .mDemand = mValue.mDemand * kept };
+           .mDemand = mValue.mDemand * kept,
+           .mFailure = mValue.mFailure * kept };
 }
 
 } // namespace amaranthgap
--- a/libs/forwarding/tests/HeavyLoadTest.cpp
+++ b/libs/forwarding/tests/HeavyLoadTest.cpp
@@ -95,6 +95,82 @@
            { "now", 147 * aTimes } };
 }
 
+// Few requests with long chains: an invoice leads to ten stocks, one after the
+// other, which takes almost its timeout where upstreams are slow.
+LoadModel::Options
+LongChains(uint64_t aSeed)
+{
+  LoadModel::Options out{
+    .mRegions = { "west", "south", "east", "west", "south", "east" },
+    .mSeed = aSeed
+  };
+  out.mServices = {
+    { .mName = "status", .mSlots = 36, .mSpeeds = { 1.6, 0.7, 0.7 } },
+    { .mName = "bills", .mSlots = 36, .mSpeeds = { 1.6, 0.7, 0.7 } },
+    { .mName = "slots", .mSlots = 36, .mSpeeds = { 1.4, 1.0, 0.6 } },
+    { .mName = "rounds", .mSlots = 10, .mSpeeds = { 1.4, 1.0, 0.6 } },
+  };
+  out.mKinds = {
+    { .mName = "status",
+      .mService = "status",
+      .mPriority = 2,
+      .mWorkMillis = 220,
+      .mSpread = 0.3,
+      .mAimMillis = 2000,
+      .mTimeoutMillis = 1500,
+      .mTimeLeftMillis = 6000,
+      .mKilobytes = 1.5,
+      .mWorth = 1,
+      .mCalls = { { "tariff", 1 } } },
+    { .mName = "invoice",
+      .mService = "bills",
+      .mIdempotent = false,
+      .mWorkMillis = 290,
+      .mSpread = 0.3,
+      .mAimMillis = 2000,
+      .mTimeoutMillis = 1500,
+      .mTimeLeftMillis = 6000,
+      .mKilobytes = 5,
+      .mWorth = 3,
+      .mCalls = { { "slot", 2 } } },
+    { .mName = "sheet",
+      .mService = "rounds",
+      .mPriority = 1,
+      .mWorkMillis = 88,
+      .mAimMillis = 400,
+      .mTimeoutMillis = 800,
+      .mTimeLeftMillis = 1500,
+      .mKilobytes = 5,
+      .mWorth = 2 },
+    { .mName = "tariff",
+      .mService = "bills",
+      .mWorkMillis = 15,
+      .mAimMillis = 1200,
+      .mTimeoutMillis = 3000,
+      .mCalls = { { "slot", 1 } } },
+    { .mName = "slot",
+      .mService = "slots",
+      .mWorkMillis = 15,
+      .mAimMillis = 1200,
+      .mTimeoutMillis = 2500,
+      .mCalls = { { "stock", 5 } } },
+    { .mName = "stock",
+      .mService = "rounds",
+      .mWorkMillis = 55,
+      .mAimMillis = 300,
+      .mTimeoutMillis = 700 },
+  };
+  return out;
+}
+
+LoadModel::Rates
+ChainRates(double aTimes)
+{
+  return { { "status", 57.5 * aTimes },
+           { "invoice", 27.3 * aTimes },
+           { "sheet", 23 * aTimes } };
+}
+
 // One service of three data centres in one region, and requests without calls
 // at three priorities.
 constexpr double kCapacity = 3 * 47 / 0.05; // Requests a second.
@@ -263,6 +339,44 @@
   }
 }
 
+// Guards against callers whose own data centre is too slow for a long chain,
+// and against waits at each call of it.
+TEST_CASE("long chains run where they end in time")
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LoadModel model(LongChains(seed));
+    model.Play(seconds(10), ChainRates(0.6));
+    PlaySettled(model, ChainRates(0.6));
+    INFO("seed " << seed << '\n' << model.Table());
+    CHECK(model.Outcome("invoice").ServedShare() >= 0.95);
+    CHECK(model.Outcome("status").ServedShare() >= 0.98);
+    CHECK(model.Outcome("sheet").ServedShare() >= 0.98);
+  }
+}
+
+// Guards against bookings that are run halfway while the service below refuses
+// most calls, and against refusals that outlast that.
+TEST_CASE("bookings that would fail halfway are refused instead")
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LoadModel model(Deployment(seed));
+    model.Play(seconds(3), Rates(1));
+    model.SetRefusals("pits", 0.55);
+    model.Play(seconds(1), Rates(1));
+    model.ResetOutcomes();
+    model.Play(seconds(5), Rates(1));
+    INFO("seed " << seed << '\n' << model.Table());
+    const ModelOutcome& book = model.Outcome("book");
+    CHECK(book.mRefused > book.mFailed);
+    model.SetRefusals("pits", 0);
+    model.Play(seconds(3), Rates(1)); // The target for recovery.
+    model.ResetOutcomes();
+    model.Play(seconds(5), Rates(1));
+    INFO("afterwards\n" << model.Table());
+    CHECK(model.Outcome("book").ServedShare() >= 0.99);
+  }
+}
+
 // Guards against an upstream that goes on getting its share while it is slow.
 TEST_CASE("a slow upstream does not hold requests up")
 {
@@ -281,6 +395,11 @@
 // Prints what callers get under rising loads: `forwarding_tests "[.table]"`.
 TEST_CASE("table of rising loads", "[.table]")
 {
+  for (const double times : { 0.6, 1.0, 1.4, 1.8, 2.4 }) {
+    LoadModel model(LongChains(1));
+    PlaySettled(model, ChainRates(times));
+    std::cout << times << " times, long chains\n" << model.Table() << std::endl;
+  }
   for (const double times : { 0.6, 1.0, 1.4, 1.8, 2.24, 3.0, 4.0 }) {
     LoadModel model(Deployment(1));
     PlaySettled(model, Rates(times));
--- a/libs/proxy/include/proxy/Forwarder.h
+++ b/libs/proxy/include/proxy/Forwarder.h
@@ -72,6 +72,10 @@
   void SetRoutes(RouteTablePtr aRoutes);
   void SetService(const std::string& aService) { mOptions.mService = aService; }
   TargetPicker& Targets() { return mPicker; }
+  /** Takes the load that a node told of itself. */
+  void LoadTold(TimePoint aNow,
+                const std::string& aNode,
+                const LoadReport& aReport);
 
   void RequestArrived(TimePoint aNow,
                       RequestHandle aHandle,
--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -37,6 +37,8 @@
      * connected again. */
     std::function<void(const std::string&)> mLost;
     std::function<void(std::string)> mRoutes;
+    /** Takes the load that a node told of itself. */
+    std::function<void(const std::string&, const LoadReport&)> mLoad;
   };
 
   PeerLinks(EventLoop& aLoop, Logger& aLogger, Events aEvents);
--- a/libs/proxy/include/proxy/PeerServer.h
+++ b/libs/proxy/include/proxy/PeerServer.h
@@ -35,6 +35,8 @@
   Status Listen(const std::string& aAddress);
   /** Tells all connected nodes the present state of this node. */
   void Announce();
+  /** Tells all connected nodes the load of this node. */
+  void Report(const LoadReport& aReport);
   [[nodiscard]] uint16_t Port() const { return mListener.Port(); }
 
 private:
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -4,12 +4,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/Logger.h"
 #include "forwarding/CapacityPlan.h"
+#include "forwarding/KindLog.h"
 #include "forwarding/TargetGate.h"
 #include "forwarding/TreeLoad.h"
 #include "http/ClientConnection.h"
@@ -59,6 +61,9 @@
                      const CallKind& aParent,
                      const TreeLoad& aLoad);
 
+  /** @return the kinds of first requests whose load others have to know. */
+  LoadReport Report(TimePoint aNow);
+
   [[nodiscard]] bool TakesWork() const { return mTakesWork && !mIsDown; }
   [[nodiscard]] uint32_t Limit() const { return mGate.Limit(); }
   [[nodiscard]] const std::string& Service() const { return mService; }
@@ -73,11 +78,20 @@
 private:
   struct Attempt;
 
+  /** What the end of a run tells of the upstream. */
+  enum class RunEnd : uint8_t
+  {
+    Good,
+    Failed,  ///< It was answered by a failure, or too late.
+    Nothing, ///< Its caller left, or nothing is known of it.
+  };
+
   void Start(TimePoint aNow, Attempt& aAttempt);
   void StartNext(TimePoint aNow);
   void Answered(ExecutionId aExecution,
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
+  [[nodiscard]] static RunEnd EndOf(const ForwardReply& aReply);
   [[nodiscard]] ForwardReply Judge(ExchangeEnd aEnd,
                                    ReceivedResponse aResponse) const;
   void Refuse(ExecutionId aExecution, AttemptReason aReason);
@@ -86,9 +100,10 @@
   std::unique_ptr<ClientConnection> TakeConnection(TimePoint aNow);
   /** Logs what the upstream cannot take, once a second. */
   void LogOverload(TimePoint aNow);
-  /** Notes that a running attempt holds its slot no more.
-   * @param aRun how long it ran; zero when that tells nothing. */
-  void FreeSlot(TimePoint aNow, Attempt& aAttempt, Duration aRun);
+  /** Notes that a running attempt holds its slot no more. */
+  void FreeSlot(TimePoint aNow, Attempt& aAttempt, RunEnd aEnd);
+  /** @return what the upstream and those below it can take of a kind. */
+  [[nodiscard]] TreeLoad LoadOf(TimePoint aNow, const CallKind& aKind);
   /** @return the load as such a request meets it. */
   [[nodiscard]] GateLoad Load(TimePoint aNow, const ForwardRequest& aRequest);
 
@@ -110,7 +125,8 @@
   std::unordered_map<std::string, ExecutionId> mByRequest;
   std::vector<std::unique_ptr<ClientConnection>> mIdle;
   std::map<CallKind, SmoothedLoad> mLoadsBelow; ///< Of the calls they make.
-  std::map<CallKind, double> mRunMillis;        ///< Smoothed.
+  KindLog mKinds;
+  std::set<CallKind> mFirstKinds; ///< Those that callers send, not upstreams.
   std::function<void()> mOnChange;
 };
 
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -272,17 +272,34 @@
   }
   mPicker.Replied(aNow, node, result, aReply.mLoad);
   const TreeLoad load{ .mShare = aReply.mLoad.mShare / kThousandths,
-                       .mDemand = aReply.mLoad.mDemand / kThousandths };
+                       .mDemand = aReply.mLoad.mDemand / kThousandths,
+                       .mFailure = aReply.mLoad.mFailed / kThousandths };
   if (request.mIsNested) {
     mOutlets.mLoadBelow(aNow, aCall.mParent, load);
   } else {
-    mAdmission.Replied(aNow, request.mRoute, mPicker.DataCentreOf(node), load);
+    mAdmission.Told(aNow, request.mRoute, mPicker.DataCentreOf(node), load);
   }
   if (aReply.mOutcome == AttemptOutcome::Answered) {
     NoteNeed(aNow, aCall, aReply);
   }
 }
 
+void
+Forwarder::LoadTold(TimePoint aNow,
+                    const std::string& aNode,
+                    const LoadReport& aReport)
+{
+  const std::string& place = mPicker.DataCentreOf(aNode);
+  for (const KindLoad& it : aReport.mKinds) {
+    mAdmission.Told(aNow,
+                    it.mRoute,
+                    place,
+                    { .mShare = it.mShare / kThousandths,
+                      .mDemand = it.mDemand / kThousandths,
+                      .mFailure = it.mFailed / kThousandths });
+  }
+}
+
 void
 Forwarder::NoteNeed(TimePoint aNow,
                     const Call& aCall,
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -159,6 +159,8 @@
     }
   } else if (auto* routes = std::get_if<RoutesDocument>(&aMessage)) {
     mEvents.mRoutes(std::move(routes->mDocument));
+  } else if (const auto* load = std::get_if<LoadReport>(&aMessage)) {
+    mEvents.mLoad(aLink.mPeer.mNode, *load);
   }
 }
 
--- a/libs/proxy/src/PeerServer.cpp
+++ b/libs/proxy/src/PeerServer.cpp
@@ -169,4 +169,12 @@
   }
 }
 
+void
+PeerServer::Report(const LoadReport& aReport)
+{
+  for (const auto& [id, connection] : mConnections) {
+    connection->Send(aReport);
+  }
+}
+
 } // namespace amaranthgap
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -27,6 +27,9 @@
 // A peer is asked for newer routes when the store has not brought them.
 constexpr Duration kRoutesPatience = milliseconds(250);
 
+// Others are told of a load this often while it is worth telling.
+constexpr Duration kReportPause = milliseconds(500);
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -94,6 +97,7 @@
   std::string mRoutesDocument;
   std::map<std::string, uint64_t> mPeerRoutes; ///< Versions, by node.
   TimePoint mRoutesAsked{};
+  TimePoint mReported{};
   std::optional<TimePoint> mShutdownSince;
   std::function<void()> mOnStopped;
 };
@@ -188,6 +192,10 @@
              .mRoutes =
                [this](const std::string& aDocument) {
                  TakeRoutes(aDocument, "peer");
+               },
+             .mLoad =
+               [this](const std::string& aNode, const LoadReport& aReport) {
+                 mForwarder.LoadTold(EventLoop::Now(), aNode, aReport);
                } })
   , mPeerServer(
       mLoop,
@@ -467,6 +475,14 @@
 {
   mFollower->Tick(aNow);
   mLinks.Tick(aNow);
+  if (aNow - mReported >= kReportPause) {
+    mReported = aNow;
+    if (const LoadReport report = mUpstream.Report(aNow);
+        !report.mKinds.empty()) {
+      mForwarder.LoadTold(aNow, mSettings.mNodeId, report);
+      mPeerServer.Report(report);
+    }
+  }
   AskForRoutes(aNow);
   mLogger.Flush();
   mCallers.CloseOverdue(aNow);
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -14,9 +14,9 @@
 
 constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kUserTimeout = seconds(2);
-// Weight of one run in the mean of its route.
-constexpr double kRunWeight = 0.05;
 constexpr double kThousandths = 1000;
+// Longest way between an entry node and this one.
+constexpr Duration kLateMargin = milliseconds(60);
 constexpr int kTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
@@ -36,6 +36,12 @@
   return aStatus >= 200 && aStatus < 300;
 }
 
+bool
+IsServerFailure(int aStatus)
+{
+  return aStatus >= 500;
+}
+
 } // namespace
 
 /** One attempt, waiting at the gate or running. */
@@ -149,6 +155,9 @@
     mLoop.Defer([this, id, reason] { Refuse(id, reason); });
     return id;
   }
+  if (!request.mIsNested) {
+    mFirstKinds.insert(KindOf(request));
+  }
   mPlan.Arrived(aNow, request.mPriority, request.mShare / kThousandths);
   const auto verdict =
     mGate.Offer(aNow,
@@ -252,6 +261,20 @@
   return out;
 }
 
+UpstreamSide::RunEnd
+UpstreamSide::EndOf(const ForwardReply& aReply)
+{
+  switch (aReply.mOutcome) {
+    case AttemptOutcome::Answered:
+      return IsServerFailure(aReply.mHttp.mStatus) ? RunEnd::Failed
+                                                   : RunEnd::Good;
+    case AttemptOutcome::MayHaveRun:
+      return RunEnd::Failed;
+    default:
+      return RunEnd::Nothing;
+  }
+}
+
 void
 UpstreamSide::Answered(ExecutionId aExecution,
                        ExchangeEnd aEnd,
@@ -267,10 +290,7 @@
   if (attempt.mConnection->IsReusable(now)) {
     mIdle.push_back(std::move(attempt.mConnection));
   }
-  FreeSlot(now,
-           attempt,
-           reply.mOutcome == AttemptOutcome::Answered ? now - attempt.mStarted
-                                                      : Duration::zero());
+  FreeSlot(now, attempt, EndOf(reply));
   if (reply.mReason == AttemptReason::NotConnected) {
     SetDown("connection refused");
   } else if (reply.mReason == AttemptReason::OtherInstance) {
@@ -281,16 +301,15 @@
 }
 
 void
-UpstreamSide::FreeSlot(TimePoint aNow, Attempt& aAttempt, Duration aRun)
+UpstreamSide::FreeSlot(TimePoint aNow, Attempt& aAttempt, RunEnd aEnd)
 {
   aAttempt.mIsRunning = false;
-  mGate.Finished(aRun);
-  mPlan.Ended(aNow, aAttempt.mRequest.mPriority, aRun);
-  if (aRun > Duration::zero()) {
-    const double run = ToSeconds(aRun) * kThousandths;
-    const auto [it, isNew] =
-      mRunMillis.try_emplace(KindOf(aAttempt.mRequest), run);
-    it->second += isNew ? 0 : kRunWeight * (run - it->second);
+  const Duration run = aNow - aAttempt.mStarted;
+  const Duration told = aEnd == RunEnd::Good ? run : Duration::zero();
+  mGate.Finished(told);
+  mPlan.Ended(aNow, aAttempt.mRequest.mPriority, told);
+  if (aEnd != RunEnd::Nothing) {
+    mKinds.Ended(KindOf(aAttempt.mRequest), run, aEnd == RunEnd::Good);
   }
 }
 
@@ -372,7 +391,9 @@
   reply.mReason = AttemptReason::CallerGone;
   if (attempt.mIsRunning) {
     attempt.mConnection->Abort();
-    FreeSlot(aNow, attempt, Duration::zero());
+    // Its entry node gives a request up a little before its time is over here.
+    const bool isLate = aNow + kLateMargin >= attempt.mDeadline;
+    FreeSlot(aNow, attempt, isLate ? RunEnd::Failed : RunEnd::Nothing);
     reply.mOutcome = AttemptOutcome::MayHaveRun;
   } else {
     mGate.Remove(aExecution);
@@ -394,7 +415,7 @@
     reply.mReason = AttemptReason::Expired;
     if (attempt.mIsRunning) {
       attempt.mConnection->Abort();
-      FreeSlot(aNow, attempt, Duration::zero());
+      FreeSlot(aNow, attempt, RunEnd::Failed);
       reply.mOutcome = AttemptOutcome::MayHaveRun;
     } else {
       mGate.Remove(id);
@@ -460,23 +481,48 @@
   mLoadsBelow[aParent].Note(aNow, aLoad);
 }
 
+TreeLoad
+UpstreamSide::LoadOf(TimePoint aNow, const CallKind& aKind)
+{
+  TreeLoad out = mPlan.Load(aNow, aKind.mPriority);
+  if (const auto it = mLoadsBelow.find(aKind); it != mLoadsBelow.end()) {
+    out = TreeLoad::Tighter(out, it->second.Value(aNow));
+  }
+  out.mFailure = mKinds.Find(aKind).mFailedShare;
+  return out;
+}
+
 GateLoad
 UpstreamSide::Load(TimePoint aNow, const ForwardRequest& aRequest)
 {
-  TreeLoad tree = mPlan.Load(aNow, aRequest.mPriority);
   const CallKind kind = KindOf(aRequest);
-  if (const auto it = mLoadsBelow.find(kind); it != mLoadsBelow.end()) {
-    tree = TreeLoad::Tighter(tree, it->second.Value(aNow));
-  }
-  const auto run = mRunMillis.find(kind);
+  const TreeLoad tree = LoadOf(aNow, kind);
   const Duration wait = mGate.WaitOf(aRequest.mPriority, aRequest.mIsNested);
   return { .mRunning = mGate.Running(),
            .mWaiting = uint32_t(mGate.Waiting()),
            .mLimit = mGate.Limit(),
            .mWaitMs = uint32_t(ToMillis(wait)),
-           .mRunMs = run == mRunMillis.end() ? 0 : uint32_t(run->second),
+           .mRunMs = uint32_t(mKinds.Find(kind).mRunMillis),
            .mShare = uint32_t(tree.mShare * kThousandths),
-           .mDemand = uint32_t(tree.mDemand * kThousandths) };
+           .mDemand = uint32_t(tree.mDemand * kThousandths),
+           .mFailed = uint32_t(tree.mFailure * kThousandths) };
+}
+
+LoadReport
+UpstreamSide::Report(TimePoint aNow)
+{
+  LoadReport out;
+  for (const CallKind& kind : mFirstKinds) {
+    const TreeLoad load = LoadOf(aNow, kind);
+    if (load.IsWorthTelling()) {
+      out.mKinds.push_back(
+        { .mRoute = kind.mRoute,
+          .mShare = uint32_t(load.mShare * kThousandths),
+          .mDemand = uint32_t(load.mDemand * kThousandths),
+          .mFailed = uint32_t(load.mFailure * kThousandths) });
+    }
+  }
+  return out;
 }
 
 } // namespace amaranthgap
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <msgpack.hpp>
 
@@ -56,8 +57,17 @@
   /** Demand of such requests and of more important ones, before any refusal, in
    * thousandths of the capacity of the busiest target. */
   uint32_t mDemand = 0;
+  /** Part of such requests that failed at this target, in thousandths. */
+  uint32_t mFailed = 0;
 
-  MSGPACK_DEFINE(mRunning, mWaiting, mLimit, mWaitMs, mRunMs, mShare, mDemand)
+  MSGPACK_DEFINE(mRunning,
+                 mWaiting,
+                 mLimit,
+                 mWaitMs,
+                 mRunMs,
+                 mShare,
+                 mDemand,
+                 mFailed)
 };
 
 /** One attempt at a target. */
@@ -209,6 +219,27 @@
   MSGPACK_DEFINE(mHave)
 };
 
+/** What a node can take of one kind of first requests, in thousandths; see
+ * GateLoad. */
+struct KindLoad
+{
+  std::string mRoute;
+  uint32_t mShare = 1000;
+  uint32_t mDemand = 0;
+  uint32_t mFailed = 0;
+
+  MSGPACK_DEFINE(mRoute, mShare, mDemand, mFailed)
+};
+
+/** Kinds of first requests that a node cannot take whole, or that fail there.
+ */
+struct LoadReport
+{
+  std::vector<KindLoad> mKinds;
+
+  MSGPACK_DEFINE(mKinds)
+};
+
 /** Routes in the operators' own form, as they stand in the store. */
 struct RoutesDocument
 {
@@ -224,7 +255,8 @@
                                  ForwardCancel,
                                  LinkProbe,
                                  RoutesRequest,
-                                 RoutesDocument>;
+                                 RoutesDocument,
+                                 LoadReport>;
 
 } // namespace amaranthgap
 
