Send most requests to fast targets while they have room

Load: targets at 0.7 and 1.6 of the usual speed, work of 0.4 to 0.7 s, no overload.

Ruled out: always the fastest one, which entry nodes overfill as they learn of its load half a second late.

Two targets are drawn with weights of 1/run time squared, and the one expected to finish first is taken; above 70% load it counts as slower. What replies tell of the load lasts for the run time of a request.

The model has a fleet with slow work now ([.slow]).

--- a/libs/forwarding/include/forwarding/TargetPicker.h
+++ b/libs/forwarding/include/forwarding/TargetPicker.h
@@ -29,9 +29,10 @@
 
 /** Chooses the target of each attempt at one entry node by expected cost:
  * queueing time, distance and traffic, with penalties for slow or failing
- * targets. Without load, this prefers the own data centre, then the own region,
- * then any other. The state comes from replies and from the requests that this
- * node has sent since. Not thread-safe. */
+ * targets. Of targets with about the same cost, fast ones get most requests
+ * until they are nearly full. Without load, this prefers the own data centre,
+ * then the own region, then any other. The state comes from replies and from
+ * the requests that this node has sent since. Not thread-safe. */
 class TargetPicker
 {
 public:
@@ -120,7 +121,22 @@
     TimePoint mBackoffUntil{};
   };
 
-  [[nodiscard]] static double Load(TimePoint aNow, const Target& aTarget);
+  /** Target that a request may be sent to. */
+  struct Candidate
+  {
+    Target* mTarget = nullptr;
+    double mRunMillis = 0; ///< Expected, without waiting.
+    double mCost = 0;
+  };
+
+  /** @param aRunMillis run time of a request there.
+   * @return the part of the slots in use, as far as this node knows. */
+  [[nodiscard]] static double Load(TimePoint aNow,
+                                   const Target& aTarget,
+                                   double aRunMillis);
+  /** Chooses one of several targets of about the same cost. */
+  const Target& ChooseBySpeed(TimePoint aNow,
+                              const std::vector<Candidate>& aCandidates);
   [[nodiscard]] static bool IsAvailable(TimePoint aNow, const Target& aTarget);
   /** Cost of a request at a target, in milliseconds of waiting time. */
   struct Costs
--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Time constants for the decay of the load from other nodes and of waits.
-constexpr double kLoadDecaySeconds = 0.5;
+// Time constants for the decay of the load from other nodes, which is at least
+// the run time of a request, and of waits.
+constexpr double kMinLoadDecaySeconds = 0.5;
 constexpr double kWaitDecaySeconds = 0.3;
 // Time for which run times and failures of a target are valid. A target avoided
 // because of them gets one probe request per interval.
@@ -37,12 +38,27 @@
 // Weight of one reply in that demand, and the time constant of its decay.
 constexpr double kDemandWeight = 0.1;
 constexpr double kDemandDecaySeconds = 2;
-// Targets whose costs differ by less are chosen by load.
+// Targets whose costs differ by less than this, or than this part of the run
+// time, are chosen by run time and load.
 constexpr double kEqualCostMillis = 1;
+constexpr double kEqualCostRunShare = 0.05;
+// Load above which the expected run time at a target counts as longer, by this
+// factor at full load, so that requests turn to other targets before they have
+// to wait.
+constexpr double kHighLoad = 0.7;
+constexpr double kFullLoadFactor = 2.5;
 constexpr double kThousandths = 1000;
+constexpr double kMillisPerSecond = 1000;
 constexpr Duration kInitialBackoff = milliseconds(200);
 constexpr Duration kMaxBackoff = seconds(4);
 
+// Weight of a target in a draw, by its run time.
+double
+SpeedWeight(double aRunMillis)
+{
+  return 1 / (aRunMillis * aRunMillis);
+}
+
 double
 Decay(TimePoint aNow, TimePoint aTime, double aDecaySeconds)
 {
@@ -97,10 +113,12 @@
 }
 
 double
-TargetPicker::Load(TimePoint aNow, const Target& aTarget)
+TargetPicker::Load(TimePoint aNow, const Target& aTarget, double aRunMillis)
 {
+  const double decaySeconds =
+    std::max(kMinLoadDecaySeconds, aRunMillis / kMillisPerSecond);
   const double otherRequests =
-    aTarget.mOtherRequests * Decay(aNow, aTarget.mLoadTime, kLoadDecaySeconds);
+    aTarget.mOtherRequests * Decay(aNow, aTarget.mLoadTime, decaySeconds);
   return (otherRequests + aTarget.mOutstanding) /
          double(std::max(1U, aTarget.mState.mLimit));
 }
@@ -166,22 +184,22 @@
   if (service == mByService.end()) {
     return std::nullopt;
   }
-  struct Candidate
-  {
-    Target* mTarget;
-    double mCost;
-  };
   std::vector<Candidate> candidates;
   bool hasPreferred = false;
   double fastestRun = 0;
+  double runSum = 0;
+  size_t runCount = 0;
   for (const std::string& node : service->second) {
     Target& it = mTargets.at(node);
-    if (const KindState* known = FindKind(aNow, it, aRequest);
-        known && (fastestRun == 0 || known->mRunMillis < fastestRun)) {
-      fastestRun = known->mRunMillis;
+    const KindState* known = FindKind(aNow, it, aRequest);
+    const double run = known ? known->mRunMillis : 0;
+    if (run > 0) {
+      fastestRun = fastestRun == 0 ? run : std::min(fastestRun, run);
+      runSum += run;
+      ++runCount;
     }
     if (!aExclude.contains(node) && IsAvailable(aNow, it)) {
-      candidates.push_back({ &it, 0 });
+      candidates.push_back({ .mTarget = &it, .mRunMillis = run });
       hasPreferred |= it.mState.mDataCentre == aRequest.mDataCentre;
     }
   }
@@ -193,29 +211,64 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  const double meanRun =
+    runCount > 0 ? runSum / double(runCount) : kDefaultRunMillis;
   double least = std::numeric_limits<double>::max();
   for (Candidate& it : candidates) {
+    if (it.mRunMillis <= 0) {
+      it.mRunMillis = meanRun;
+    }
     const Costs costs = CostsOf(aNow, *it.mTarget, aRequest, fastestRun);
     it.mCost = costs.mBase;
     if (costs.mPenalty > kAvoidancePenaltyMillis) {
       KindState& state = it.mTarget->mKinds.at(aRequest.mKind);
       if (aNow >= state.mNextProbe && costs.mBase < least) {
         state.mNextProbe = aNow + kProbeInterval;
+        it.mRunMillis = fastestRun > 0 ? fastestRun : meanRun;
       } else {
         it.mCost += costs.mPenalty;
       }
     }
     least = std::min(least, it.mCost);
   }
-  std::erase_if(candidates, [&](const Candidate& aOne) {
-    return aOne.mCost > least + kEqualCostMillis;
-  });
-  // Power of two choices, so that entry nodes do not all send to the best
-  // target.
-  const Target* one = candidates[mRng.Below(candidates.size())].mTarget;
-  const Target* other = candidates[mRng.Below(candidates.size())].mTarget;
-  const Target* best = Load(aNow, *one) <= Load(aNow, *other) ? one : other;
-  return Choice{ best->mState.mNode, best->mState.mInstance };
+  const double most =
+    least + std::max(kEqualCostMillis, kEqualCostRunShare * meanRun);
+  std::erase_if(candidates,
+                [&](const Candidate& aOne) { return aOne.mCost > most; });
+  const NodeState& best = ChooseBySpeed(aNow, candidates).mState;
+  return Choice{ best.mNode, best.mInstance };
+}
+
+// Power of two choices, so that entry nodes do not all send to the best target.
+// Both are drawn with weights that favour fast targets; the one that is
+// expected to finish first is chosen.
+const TargetPicker::Target&
+TargetPicker::ChooseBySpeed(TimePoint aNow,
+                            const std::vector<Candidate>& aCandidates)
+{
+  double weights = 0;
+  for (const Candidate& it : aCandidates) {
+    weights += SpeedWeight(it.mRunMillis);
+  }
+  const auto draw = [&]() -> const Candidate& {
+    double rest = mRng.Uniform() * weights;
+    for (const Candidate& it : aCandidates) {
+      rest -= SpeedWeight(it.mRunMillis);
+      if (rest < 0) {
+        return it;
+      }
+    }
+    return aCandidates.back();
+  };
+  const auto rank = [&](const Candidate& aOne) {
+    const double load = Load(aNow, *aOne.mTarget, aOne.mRunMillis);
+    const double excess = std::max(0.0, load - kHighLoad) / (1 - kHighLoad);
+    return std::pair{ aOne.mRunMillis * (1 + (kFullLoadFactor - 1) * excess),
+                      load };
+  };
+  const Candidate& one = draw();
+  const Candidate& other = draw();
+  return rank(one) <= rank(other) ? *one.mTarget : *other.mTarget;
 }
 
 std::vector<CandidateDataCentre>
--- a/libs/forwarding/tests/HeavyLoadTest.cpp
+++ b/libs/forwarding/tests/HeavyLoadTest.cpp
@@ -173,6 +173,58 @@
            { "sheet", 23 * aFactor } };
 }
 
+// As BookingFleet, in nine data centres, with work that takes five times as
+// long and with longer timeouts.
+FleetSimulation::Options
+SlowWorkFleet(uint64_t aSeed)
+{
+  FleetSimulation::Options out = BookingFleet(aSeed);
+  out.mRegions = { "east",  "north", "south", "east", "north",
+                   "south", "east",  "north", "south" };
+  const std::vector<double> fastAndSlow{ 0.7, 0.7, 1.6, 1.6, 0.7,
+                                         0.7, 0.7, 1.6, 0.7 };
+  out.mServices = {
+    { .mName = "logs", .mSlots = 640, .mSpeeds = fastAndSlow },
+    { .mName = "crews", .mSlots = 536, .mSpeeds = fastAndSlow },
+    { .mName = "alarms", .mSlots = 256, .mSpeeds = fastAndSlow },
+    { .mName = "pits",
+      .mSlots = 101,
+      .mSpeeds = { 0.6, 1.0, 1.4, 1.4, 0.6, 1.0, 1.0, 1.4, 0.6 } },
+  };
+  const auto set = [&](const std::string& aName,
+                       double aWork,
+                       double aLatencyTarget,
+                       double aTimeout,
+                       double aCallerTimeout) {
+    for (SimulatedRequestKind& it : out.mKinds) {
+      if (it.mName == aName) {
+        it.mWorkMillis = aWork;
+        it.mLatencyTargetMillis = aLatencyTarget;
+        it.mTimeoutMillis = aTimeout;
+        it.mCallerTimeoutMillis = aCallerTimeout;
+      }
+    }
+  };
+  set("read", 560, 2500, 3000, 5000);
+  set("book", 720, 3000, 4000, 5000);
+  set("ack", 390, 1200, 2500, 5000);
+  set("now", 220, 800, 1500, 3000);
+  set("peek", 15, 1000, 2500, 2500);
+  set("rule", 15, 800, 2000, 2000);
+  set("offset", 140, 300, 700, 700);
+  return out;
+}
+
+// The bottleneck service has a capacity of 1.7 times the load at factor 1.
+FleetSimulation::Rates
+SlowWorkRates(double aFactor)
+{
+  return { { "read", 434 * aFactor },
+           { "book", 222 * aFactor },
+           { "ack", 172 * aFactor },
+           { "now", 162 * aFactor } };
+}
+
 // One service in three data centres of one region; requests of three priorities
 // without calls. At each upstream 47 of 50 slots run requests of 50 ms.
 constexpr double kCapacityPerSecond = 3 * 47 / 0.05;
@@ -421,6 +473,19 @@
   }
 }
 
+// Prints outcomes of slow work: `forwarding_tests "[.slow]"`.
+TEST_CASE("table of slow work", "[.slow]")
+{
+  for (const double factor : { 0.6, 1.0, 1.4, 1.8, 2.24, 3.0 }) {
+    FleetSimulation simulation(SlowWorkFleet(1));
+    SimulateSteadyState(simulation, SlowWorkRates(factor));
+    std::cout << factor << " times, wasted " << simulation.WastedWork()
+              << " value " << simulation.ValueShare() << '\n'
+              << simulation.FormatOutcomes()
+              << simulation.FormatUpstreams("pits") << std::endl;
+  }
+}
+
 // Prints outcomes for each second of a burst: `forwarding_tests "[.burst]"`.
 TEST_CASE("table of a burst", "[.burst]")
 {
--- a/libs/forwarding/tests/TargetPickerTest.cpp
+++ b/libs/forwarding/tests/TargetPickerTest.cpp
@@ -204,3 +204,51 @@
   CHECK(ChooseNode(picker, kNow) == "region");
   CHECK(picker.DataCentresOf(kNow, "crews").size() == 1);
 }
+
+// Guards against requests that run into their timeout at slow targets while
+// fast ones are idle.
+TEST_CASE("fast targets get most requests while they have free slots")
+{
+  TargetPicker picker({ .mDataCentre = "dc1", .mRegion = "east" });
+  for (const char* node : { "slow-1", "slow-2", "fast" }) {
+    picker.SetTarget(kNow, MakeNode(node, "dc1", "east"));
+  }
+  SendReplies(picker, "slow-1", 800);
+  SendReplies(picker, "slow-2", 800);
+  SendReplies(picker, "fast", 350);
+  std::map<std::string, int> sent;
+  for (int n = 0; n < 1000; ++n) {
+    ++sent[ChooseNode(picker, kNow)];
+  }
+  CHECK(sent["fast"] > 800);
+  // Some requests still show when a slow target becomes fast.
+  CHECK(sent["slow-1"] > 10);
+  CHECK(sent["slow-2"] > 10);
+  // All slots of the fast one in use.
+  sent.clear();
+  for (int n = 0; n < 4; ++n) {
+    picker.Sent("fast");
+  }
+  for (int n = 0; n < 1000; ++n) {
+    ++sent[ChooseNode(picker, kNow)];
+  }
+  CHECK(sent["fast"] < 700);
+}
+
+// Guards against a burst to a target that has just joined: nothing is known of
+// its run time, and it may be slow at first.
+TEST_CASE("a new target gets about the share of an average one")
+{
+  TargetPicker picker({ .mDataCentre = "dc1", .mRegion = "east" });
+  for (const char* node : { "slow", "fast", "new" }) {
+    picker.SetTarget(kNow, MakeNode(node, "dc1", "east"));
+  }
+  SendReplies(picker, "slow", 800);
+  SendReplies(picker, "fast", 400);
+  std::map<std::string, int> sent;
+  for (int n = 0; n < 1000; ++n) {
+    ++sent[ChooseNode(picker, kNow)];
+  }
+  CHECK(sent["new"] > 50);
+  CHECK(sent["new"] < 500);
+}
