Cut off responses without end

An upstream in trouble may send bytes that are no answer until its connection is closed. A head, a body and other bytes had limits already; interim responses and responses to other requests did not, and kept the caller waiting until its deadline. Each response had a limit of 8 MB, but 70 at once exceed the memory of a host of 160 MB.

At most 16 interim responses and 16 responses to other requests are skipped, and all incomplete responses of a node take at most 32 MB, beyond which the longest one is cut. The caller gets 502 at once, other requests go on.

--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -47,7 +47,7 @@
    * connection. */
   using DoneCallback = std::function<void(ExchangeEnd, ReceivedResponse)>;
   /** @return whether a response belongs to the current request. Other responses
-   * are discarded, and the connection is not reused. */
+   * are discarded, up to a limit, and the connection is not reused. */
   using ResponseFilter = std::function<bool(const HttpResponse&)>;
 
   ClientConnection(EventLoop& aLoop,
@@ -64,6 +64,8 @@
   /** @return whether the connection is idle and can take another request. */
   [[nodiscard]] bool IsReusable(TimePoint aNow) const;
   [[nodiscard]] bool IsBusy() const;
+  /** @return the bytes of memory that the response takes so far. */
+  [[nodiscard]] size_t BufferedBytes() const;
   /** @return whether the connection has completed an earlier request. */
   [[nodiscard]] bool IsReused() const;
 
--- a/libs/http/include/http/HttpReader.h
+++ b/libs/http/include/http/HttpReader.h
@@ -85,6 +85,8 @@
    * connection, or nothing. */
   std::optional<ReceivedResponse> Finish();
   [[nodiscard]] ReadState State() const;
+  /** @return the bytes of memory that the current response takes so far. */
+  [[nodiscard]] size_t BufferedBytes() const;
 
 private:
   struct Parts;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -16,6 +16,8 @@
 // the server may close the connection while a request is on its way.
 constexpr Duration kDefaultIdleTime = seconds(8);
 constexpr Duration kIdleMargin = seconds(1);
+// Responses to other requests that may precede the response to a request.
+constexpr int kMaxDiscardedResponses = 16;
 
 // Returns `timeout=N` of the Keep-Alive header less the margin, or the default.
 Duration
@@ -53,6 +55,10 @@
     while (auto response = mReader.Next(mIsHeadRequest)) {
       if (mResponseFilter && !mResponseFilter(response->mHttp)) {
         mReusable = false;
+        if (++mDiscardedResponses > kMaxDiscardedResponses) {
+          Fail(ExchangeEnd::Invalid);
+          return;
+        }
         continue;
       }
       Complete(std::move(*response));
@@ -110,6 +116,7 @@
   bool mIsHeadRequest = false;
   bool mReusable = true;
   bool mReused = false;
+  int mDiscardedResponses = 0;
   TimePoint mIdleUntil = TimePoint::max();
   ResponseFilter mResponseFilter;
   DoneCallback mDoneCallback;
@@ -170,6 +177,12 @@
   return mParts->mDoneCallback != nullptr;
 }
 
+size_t
+ClientConnection::BufferedBytes() const
+{
+  return mParts->mReader.BufferedBytes();
+}
+
 bool
 ClientConnection::IsReused() const
 {
--- a/libs/http/src/HttpReader.cpp
+++ b/libs/http/src/HttpReader.cpp
@@ -104,6 +104,10 @@
   }
 
   [[nodiscard]] ReadFault Fault() const { return mFault; }
+  [[nodiscard]] size_t BufferedBytes() const
+  {
+    return mBuffer.size() + mParser->get().body().size();
+  }
   Parser& CurrentParser() { return *mParser; }
   void Fail() { mFault = ReadFault::Malformed; }
 
@@ -168,6 +172,8 @@
 {
   using MessageReader::MessageReader;
 
+  int mInterimCount = 0; ///< Since the latest final response.
+
   ReceivedResponse TakeResponse()
   {
     auto& message = CurrentParser().get();
@@ -198,12 +204,18 @@
 ResponseReader::Next(bool aIsHeadRequest)
 {
   constexpr int kFirstFinalStatus = 200;
+  constexpr int kMaxInterimResponses = 16;
   mParts->CurrentParser().skip(aIsHeadRequest);
   while (mParts->Parse()) {
     auto response = mParts->TakeResponse();
     if (response.mHttp.mStatus >= kFirstFinalStatus) {
+      mParts->mInterimCount = 0;
       return response;
     }
+    if (++mParts->mInterimCount > kMaxInterimResponses) {
+      mParts->Fail();
+      return std::nullopt;
+    }
     mParts->CurrentParser().skip(aIsHeadRequest); // Skips an interim response.
   }
   return std::nullopt;
@@ -232,4 +244,10 @@
   return mParts->State();
 }
 
+size_t
+ResponseReader::BufferedBytes() const
+{
+  return mParts->BufferedBytes();
+}
+
 } // namespace amaranthgap
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -69,6 +69,8 @@
   [[nodiscard]] const std::string& Service() const { return mService; }
   [[nodiscard]] const std::string& Instance() const { return mInstance; }
   [[nodiscard]] size_t InFlight() const { return mAttempts.size(); }
+  /** @return the bytes of memory that incomplete responses take. */
+  [[nodiscard]] size_t ResponseBytes() const;
   /** Called when TakesWork() or the instance changes. */
   void OnChange(std::function<void()> aCallback)
   {
@@ -88,6 +90,9 @@
 
   void Start(TimePoint aNow, Attempt& aAttempt);
   void StartNext(TimePoint aNow);
+  /** Ends the longest incomplete responses when all together take too much
+   * memory. */
+  void LimitResponses(TimePoint aNow);
   void Answered(ExecutionId aExecution,
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kUserTimeout = seconds(2);
 constexpr double kThousandths = 1000;
+// Most memory of all incomplete responses. The smallest hosts have 160 MB.
+constexpr size_t kMaxResponseBytes = size_t(32) * 1024 * 1024;
 // Longest way between an entry node and this one.
 constexpr Duration kLateMargin = milliseconds(60);
 constexpr int kTimeout = 408;
@@ -422,12 +424,51 @@
     }
     Finish(id, std::move(reply));
   }
+  LimitResponses(aNow);
   std::erase_if(mIdle,
                 [&](const auto& aOne) { return !aOne->IsReusable(aNow); });
   StartNext(aNow);
   LogOverload(aNow);
 }
 
+size_t
+UpstreamSide::ResponseBytes() const
+{
+  size_t out = 0;
+  for (const auto& [id, attempt] : mAttempts) {
+    out += attempt->mConnection ? attempt->mConnection->BufferedBytes() : 0;
+  }
+  return out;
+}
+
+void
+UpstreamSide::LimitResponses(TimePoint aNow)
+{
+  while (ResponseBytes() > kMaxResponseBytes) {
+    Attempt* longest = nullptr;
+    size_t mostBytes = 0;
+    for (const auto& [id, attempt] : mAttempts) {
+      const size_t bytes =
+        attempt->mConnection ? attempt->mConnection->BufferedBytes() : 0;
+      if (bytes > mostBytes) {
+        longest = attempt.get();
+        mostBytes = bytes;
+      }
+    }
+    mLogger.Write(aNow,
+                  LogLevel::Warning,
+                  "response-too-long",
+                  { { "request", longest->mRequest.mRequestId },
+                    { "bytes", std::to_string(mostBytes) } });
+    longest->mConnection->Abort();
+    FreeSlot(aNow, *longest, RunEnd::Failed);
+    ForwardReply reply;
+    reply.mOutcome = AttemptOutcome::MayHaveRun;
+    reply.mReason = AttemptReason::InvalidResponse;
+    Finish(longest->mId, std::move(reply));
+  }
+}
+
 void
 UpstreamSide::LogOverload(TimePoint aNow)
 {
