Count the time that a host is suspended

CLOCK_MONOTONIC stops while a host is suspended, so that requests whose time was over looked as if they had time left and were sent on after it woke up. The loop reads CLOCK_BOOTTIME.

--- a/libs/net/include/net/EventLoop.h
+++ b/libs/net/include/net/EventLoop.h
@@ -26,10 +26,7 @@
   void RunFor(Duration aWait);
   void Stop();
 
-  [[nodiscard]] static TimePoint Now()
-  {
-    return std::chrono::steady_clock::now();
-  }
+  [[nodiscard]] static TimePoint Now();
 
   /** Calls aCallback once, after the pending events are handled and before the
    * loop waits for new ones. */
--- a/libs/net/src/EventLoop.cpp
+++ b/libs/net/src/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "net/EventLoop.h"
 
+#include <ctime>
 #include <list>
 #include <utility>
 #include <vector>
@@ -73,6 +74,17 @@
   }
 }
 
+// CLOCK_MONOTONIC stops while a host is suspended: requests that were due in
+// that time would seem to have time left.
+TimePoint
+EventLoop::Now()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
+
 void
 EventLoop::Run()
 {
--- a/libs/net/tests/TcpStreamTest.cpp
+++ b/libs/net/tests/TcpStreamTest.cpp
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <ctime>
+
 #include "net/EventLoop.h"
 #include "net/TcpStream.h"
 
@@ -153,3 +155,15 @@
   REQUIRE(RunUntil(loop, [&] { return server.mEnd.has_value(); }));
   CHECK(server.mReceived == "last words");
 }
+
+// Guards against a host that was suspended and takes what is overdue for new.
+TEST_CASE("the time of the loop counts the time that a host is suspended")
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  const TimePoint expected(seconds(time.tv_sec) +
+                           std::chrono::nanoseconds(time.tv_nsec));
+  const Duration difference = EventLoop::Now() - expected;
+  CHECK(difference >= Duration::zero());
+  CHECK(difference < milliseconds(100));
+}
