--- /dev/null
+++ b/libs/discovery/include/discovery/NodeDirectory.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Time.h"
+#include "wire/ForwardMessages.h"
+
+namespace amaranthgap {
+
+/** The other nodes that this node knows of, and those it keeps a connection to.
+ *
+ * Nodes of the own data centre and region carry most requests; a few of each
+ * service in every other region take over when the own region cannot. The
+ * number of connections is bounded by the services and places, not by the
+ * nodes. Which ones are chosen is a stable hash of both nodes, so that the load
+ * of many callers spreads over the targets. Not thread-safe. */
+class NodeDirectory
+{
+public:
+  struct Options
+  {
+    std::string mNode;
+    std::string mDataCentre;
+    std::string mRegion;
+    /** Most connected nodes of one service in the own data centre, in each
+     * other data centre of the own region, and in each other region. */
+    size_t mMostInDataCentre = 16;
+    size_t mMostInRegion = 8;
+    size_t mMostInOtherRegion = 2;
+  };
+
+  explicit NodeDirectory(Options aOptions);
+
+  /** Takes the address of a node from the store or from another node.
+   * @return whether it is new, or a newer run of a known node. */
+  bool Learn(TimePoint aNow, const NodeAddress& aAddress);
+  /** Records that a node is connected and tells of itself. */
+  void Connected(const NodeState& aState);
+  /** Records that the connection to a node ended or could not be opened. */
+  void Lost(TimePoint aNow, const std::string& aNode);
+  /** Drops nodes without a connection for too long. The store or the node
+   * itself brings them back. */
+  void Forget(TimePoint aNow);
+
+  /** @return the nodes to be connected to. */
+  [[nodiscard]] std::vector<NodeAddress> Links(TimePoint aNow) const;
+  /** @return all nodes known. */
+  [[nodiscard]] std::vector<NodeAddress> All() const;
+  /** @return whether another node of the own region is known. */
+  [[nodiscard]] bool KnowsRegion() const;
+
+private:
+  struct Entry
+  {
+    NodeAddress mAddress;
+    uint64_t mWeight = 0; ///< Low weights are chosen first.
+    bool mIsConnected = false;
+    TimePoint mKnownSince{};
+    std::optional<TimePoint> mLostSince; ///< First failure since connected.
+  };
+
+  [[nodiscard]] bool IsUnreachable(TimePoint aNow, const Entry& aEntry) const;
+  [[nodiscard]] size_t MostOf(const Entry& aEntry) const;
+
+  Options mOptions;
+  std::map<std::string, Entry> mEntries; ///< By node.
+};
+
+} // namespace amaranthgap
--- a/libs/discovery/include/discovery/Registration.h
+++ b/libs/discovery/include/discovery/Registration.h
@@ -23,23 +23,33 @@
 public:
   /** Lifetime of the entry after its last renewal. Peers detect the end of a
    * node much earlier, by its connections. */
-  static constexpr Duration kTtl = seconds(10);
-  /** Renewals are the cheapest calls. They also detect an outage of the store
-   * in which pending watches get no error. */
-  static constexpr Duration kRenewalInterval = milliseconds(1500);
+  static constexpr Duration kTtl = seconds(60);
+  /** Interval of the renewals of most nodes. */
+  static constexpr Duration kRenewalInterval = seconds(20);
+  /** Interval at a node that watches the store. Renewals are the cheapest
+   * calls, and detect an outage in which pending watches get no error. */
+  static constexpr Duration kWatcherRenewalInterval = milliseconds(1500);
 
   explicit Registration(uint64_t aSeed);
 
   /** @return the call to make now, if any. At most one is in flight. */
   std::optional<RegistrationCall> Next(TimePoint aNow);
   void Done(TimePoint aNow, const StoreResult& aResult);
-  /** Records that a watch has shown the entry to be missing from the store. */
+  /** Records that a list has shown the entry to be missing from the store. */
   void EntryMissing(TimePoint aNow);
+  /** Moves the next renewal forward, which shows whether the lease lives. */
+  void RenewBy(TimePoint aTime);
+  /** @param aWatches whether renewals have to detect outages. */
+  void SetWatching(TimePoint aNow, bool aWatches);
+  /** Writes the entry again after its content has changed. */
+  void EntryChanged() { mIsRegistered = false; }
   /** Stops requesting calls. */
   void Stop() { mStopped = true; }
 
   [[nodiscard]] uint64_t Lease() const { return mLease; }
   [[nodiscard]] bool IsRegistered() const { return mIsRegistered; }
+  /** @return how often a lease of this node has ended before its renewal. */
+  [[nodiscard]] uint64_t LapseCount() const { return mLapseCount; }
   [[nodiscard]] bool IsFailing() const { return mPacer.IsFailing(); }
 
 private:
@@ -49,6 +59,8 @@
   bool mIsRegistered = false;
   bool mMustCheckLease = false; ///< The lease may have expired.
   bool mStopped = false;
+  bool mIsWatching = false;
+  uint64_t mLapseCount = 0;
   TimePoint mRenewAt{};
 };
 
--- a/libs/discovery/src/Registration.cpp
+++ b/libs/discovery/src/Registration.cpp
@@ -1,5 +1,8 @@
 #include "discovery/Registration.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace amaranthgap {
 
 Registration::Registration(uint64_t aSeed)
@@ -31,6 +34,7 @@
 {
   if (aResult.mStatus == StoreStatus::NoLease) {
     mLease = 0;
+    ++mLapseCount;
     mIsRegistered = false;
     mMustCheckLease = false;
     mPacer.Succeeded(aNow);
@@ -52,7 +56,21 @@
       mMustCheckLease = false;
       break;
   }
-  mRenewAt = aNow + kRenewalInterval;
+  mRenewAt = aNow + (mIsWatching ? kWatcherRenewalInterval : kRenewalInterval);
+}
+
+void
+Registration::RenewBy(TimePoint aTime)
+{
+  mRenewAt = std::min(mRenewAt, aTime);
+}
+
+void
+Registration::SetWatching(TimePoint aNow, bool aWatches)
+{
+  if (!std::exchange(mIsWatching, aWatches) && aWatches) {
+    RenewBy(aNow + kWatcherRenewalInterval);
+  }
 }
 
 void
--- /dev/null
+++ b/libs/discovery/src/RoutesFetch.cpp
@@ -0,0 +1,69 @@
+#include "discovery/RoutesFetch.h"
+
+#include <limits>
+
+namespace amaranthgap {
+
+namespace {
+
+// Time for a nearer source, a node of the own data centre or the store, to
+// bring the routes first.
+constexpr Duration kNearerSourcePatience = milliseconds(250);
+// Time for an answer before another node is asked.
+constexpr Duration kAnswerTime = milliseconds(300);
+
+} // namespace
+
+RoutesFetch::RoutesFetch(uint64_t aSeed)
+  : mRng(aSeed)
+{
+}
+
+void
+RoutesFetch::Told(TimePoint aNow,
+                  const std::string& aNode,
+                  bool aIsNear,
+                  uint64_t aVersion)
+{
+  Holder& holder = mHolders[aNode];
+  if (aVersion > holder.mVersion) {
+    holder = { .mIsNear = aIsNear, .mVersion = aVersion, .mToldAt = aNow };
+  }
+}
+
+std::optional<std::string>
+RoutesFetch::Next(TimePoint aNow, uint64_t aHave, bool aWatchesStore)
+{
+  if (aNow < mNextAsk) {
+    return std::nullopt;
+  }
+  // The holder asked least often, nodes of the own data centre before others,
+  // and a random one of these, so that one holder does not serve all.
+  std::pair<uint32_t, bool> least{ std::numeric_limits<uint32_t>::max(), true };
+  std::string chosen;
+  uint64_t equal = 0;
+  for (const auto& [node, it] : mHolders) {
+    const bool mayWait = aHave != 0 && (aWatchesStore || !it.mIsNear);
+    if (it.mVersion <= aHave ||
+        (mayWait && aNow - it.mToldAt < kNearerSourcePatience)) {
+      continue;
+    }
+    const std::pair rank{ it.mAsked, !it.mIsNear };
+    if (rank > least) {
+      continue;
+    }
+    equal = rank == least ? equal + 1 : 1;
+    least = rank;
+    if (mRng.Below(equal) == 0) {
+      chosen = node;
+    }
+  }
+  if (chosen.empty()) {
+    return std::nullopt;
+  }
+  ++mHolders[chosen].mAsked;
+  mNextAsk = aNow + kAnswerTime;
+  return chosen;
+}
+
+} // namespace amaranthgap
--- a/libs/manifest/src/WatcherElection.cpp
+++ b/libs/discovery/src/WatcherElection.cpp
@@ -1,4 +1,4 @@
-#include "manifest/WatcherElection.h"
+#include "discovery/WatcherElection.h"
 
 #include "base/Hash.h"
 
--- a/libs/discovery/tests/DiscoveryTest.cpp
+++ b/libs/discovery/tests/DiscoveryTest.cpp
@@ -147,3 +147,42 @@
   registration.Done(kNow, { .mStatus = StoreStatus::Done });
   CHECK(registration.Next(kNow) == RegistrationCall::Put);
 }
+
+// Guards against store calls that grow with the fleet: only few nodes need to
+// notice an outage of the store.
+TEST_CASE("only a node that watches the store renews its lease often")
+{
+  const auto renewals = [](bool aWatches) {
+    Registration registration(1);
+    int out = 0;
+    for (TimePoint now = kNow; now < kNow + seconds(60);
+         now += milliseconds(100)) {
+      registration.SetWatching(now, aWatches);
+      if (const auto call = registration.Next(now)) {
+        out += *call == RegistrationCall::KeepLease ? 1 : 0;
+        registration.Done(now, { .mStatus = StoreStatus::Done, .mLease = 7 });
+      }
+    }
+    return out;
+  };
+  CHECK(renewals(false) <= 3);
+  CHECK(renewals(true) >= 30);
+}
+
+// Guards against an entry that stays away after an outage in which the store
+// dropped all leases.
+TEST_CASE("a lease can be checked before its renewal is due")
+{
+  Registration registration(1);
+  registration.Next(kNow);
+  registration.Done(kNow, { .mStatus = StoreStatus::Done, .mLease = 7 });
+  registration.Next(kNow);
+  registration.Done(kNow, { .mStatus = StoreStatus::Done });
+  const TimePoint later = kNow + seconds(1);
+  registration.RenewBy(later);
+  CHECK_FALSE(registration.Next(later - milliseconds(1)));
+  CHECK(registration.Next(later) == RegistrationCall::KeepLease);
+  registration.Done(later, { .mStatus = StoreStatus::NoLease });
+  CHECK(registration.LapseCount() == 1);
+  CHECK(registration.Next(later) == RegistrationCall::GrantLease);
+}
--- a/libs/node/src/ControlLogic.cpp
+++ b/libs/node/src/ControlLogic.cpp
@@ -6,7 +6,7 @@
 #include "HeadWatch.h"
 #include "JoinLogic.h"
 #include "base/Hash.h"
-#include "manifest/WatcherElection.h"
+#include "discovery/WatcherElection.h"
 #include "membership/Membership.h"
 
 namespace amaranthgap {
--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/Logger.h"
 #include "net/EventLoop.h"
@@ -14,14 +15,6 @@
 
 namespace amaranthgap {
 
-/** Node as listed in the store. */
-struct PeerAddress
-{
-  std::string mNode;
-  uint64_t mRun = 0;
-  std::string mAddress;
-};
-
 /** Connections from this node to the nodes beside targets. A connection that
  * is silent while answers are due is probed and given up. Not safe for use by
  * several threads. */
@@ -39,16 +32,20 @@
     std::function<void(std::string)> mRoutes;
     /** Takes the load that a node told of itself. */
     std::function<void(const std::string&, const LoadReport&)> mLoad;
+    std::function<void(const std::vector<NodeAddress>&)> mNodes;
+    /** Takes the name of the node that told. */
+    std::function<void(const std::string&, const StoreNotice&)> mNotice;
+    /** @return the address of this node, told on each new connection. */
+    std::function<NodeAddress()> mSelf;
   };
 
   PeerLinks(EventLoop& aLoop, Logger& aLogger, Events aEvents);
   ~PeerLinks();
 
-  /** Adds a node, or replaces its address when its run is newer. */
-  void Add(TimePoint aNow, const PeerAddress& aPeer);
-  /** Notes that the store lists a node no more. It is forgotten once it cannot
-   * be reached either. */
-  void Unlist(TimePoint aNow, const std::string& aNode);
+  /** Sets the nodes to be connected to. The address of a node is replaced when
+   * its run is newer; a connection that is no longer wanted is closed once its
+   * attempts have ended. */
+  void SetLinks(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
 
   /** Sends an attempt to a node; aDone is called once, never from within this
    * call.
@@ -67,9 +64,19 @@
 
   [[nodiscard]] size_t Size() const { return mLinks.size(); }
   [[nodiscard]] size_t Connected() const;
+  /** @return the states that connected nodes told of themselves. */
+  [[nodiscard]] std::vector<const NodeState*> ConnectedStates() const;
 
 private:
   struct Link;
+  struct Silence
+  {
+    Duration mProbe;
+    Duration mGiveUp;
+  };
+
+  static Silence SilenceOf(const Link& aLink);
+  void Add(TimePoint aNow, const NodeAddress& aPeer);
 
   void Open(TimePoint aNow, Link& aLink);
   void Received(Link& aLink, std::string_view aData);
--- a/libs/proxy/include/proxy/PeerServer.h
+++ b/libs/proxy/include/proxy/PeerServer.h
@@ -27,6 +27,9 @@
     std::function<NodeState()> mState;
     /** @return the routes document when it is newer than the version. */
     std::function<std::string(uint64_t)> mRoutes;
+    /** Takes the address of a node that has connected.
+     * @return the nodes to tell it, if any. */
+    std::function<NodeList(const NodeAddress&)> mHello;
   };
 
   PeerServer(EventLoop& aLoop, Logger& aLogger, Events aEvents);
@@ -37,12 +40,17 @@
   void Announce();
   /** Tells all connected nodes the load of this node. */
   void Report(const LoadReport& aReport);
+  /** Tells all connected nodes what was seen in the store. */
+  void Notify(const StoreNotice& aNotice);
+  /** Tells the connected nodes of one data centre of other nodes. */
+  void TellNodes(const std::string& aDataCentre, const NodeList& aNodes);
   [[nodiscard]] uint16_t Port() const { return mListener.Port(); }
 
 private:
   class Connection;
 
   void Accepted(std::unique_ptr<TcpStream> aStream);
+  void SendToAll(const LinkMessage& aMessage);
   void Drop(uint64_t aConnection);
 
   EventLoop& mLoop;
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -2,32 +2,42 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "base/Logger.h"
+#include "base/Rng.h"
 #include "discovery/PrefixWatcher.h"
 #include "discovery/Registration.h"
-#include "proxy/PeerLinks.h"
+#include "net/EventLoop.h"
+#include "wire/ForwardMessages.h"
 
 namespace amaranthgap {
 
-/** Follows the nodes and the routes in the store, and keeps the entry of this
- * node there. Not safe for use by several threads. */
+/** All calls of a node to the store. Every node keeps its own entry there and
+ * lists its region when it starts; what changes later it learns from the nodes
+ * that watch. A watching node follows the routes and lists all regions now and
+ * then. Not safe for use by several threads. */
 class StoreFollower
 {
 public:
   struct Options
   {
-    PeerAddress mSelf;
+    NodeAddress mSelf;
     std::string mRoutesKey;
     uint64_t mSeed = 1;
   };
 
   struct Events
   {
-    std::function<void(const PeerAddress&)> mNodeListed;
-    std::function<void(const std::string&)> mNodeUnlisted;
+    /** Takes the nodes of a list. */
+    std::function<void(const std::vector<NodeAddress>&)> mNodes;
     std::function<void(std::string)> mRoutes; ///< Document, as stored.
+    /** The store can be reached again or no longer, or it has dropped the lease
+     * of this node: then others may have lost theirs. */
+    std::function<void()> mReachChanged;
+    std::function<void()> mRegained;
   };
 
   StoreFollower(Logger& aLogger,
@@ -37,27 +47,48 @@
 
   /** Makes the calls that are due. */
   void Tick(TimePoint aNow);
+  /** Starts or ends watching. */
+  void SetWatching(TimePoint aNow, bool aWatches);
+  /** Writes the service of the upstream into the entry of this node. */
+  void SetService(const std::string& aService);
+  /** Checks the own entry soon, after another node has seen the store come
+   * back. */
+  void CheckEntry(TimePoint aNow);
   /** Removes the entry of this node. */
   void Leave();
 
   /** @return whether the nodes have been listed once. */
-  [[nodiscard]] bool IsListed() const { return mNodes.IsListed(); }
+  [[nodiscard]] bool IsListed() const { return mIsListed; }
+  [[nodiscard]] bool IsWatching() const { return mIsWatching; }
+  [[nodiscard]] bool ReachesStore() const { return mReachesStore; }
 
 private:
-  void Follow(TimePoint aNow, PrefixWatcher& aFollower, const char* aPrefix);
+  void WatchRoutes(TimePoint aNow);
+  void ListNodes(TimePoint aNow);
+  void NodesListed(TimePoint aNow, const StoreChanges& aResult);
   void Register(TimePoint aNow);
-  void NodeChanged(const StoreChange& aChange);
-  void NoteReach(bool aFailing, const std::string& aDetail);
+  void NoteCall(const std::string& aDetail);
+  void UpdateReach(TimePoint aNow);
+  [[nodiscard]] bool IsFailing() const;
   [[nodiscard]] std::string OwnKey() const;
 
   Logger& mLogger;
   LeasedStore& mStore;
   Options mOptions;
   Events mEvents;
-  PrefixWatcher mNodes;
+  Rng mRng;
   PrefixWatcher mRoutes;
+  CallPacer mListPacer;
   Registration mRegistration;
-  bool mIsLost = false; ///< The latest call failed.
+  bool mIsListed = false;
+  bool mIsListDue = false;
+  bool mListsAfterPut = true;
+  bool mIsWatching = false;
+  bool mReachesStore = true;
+  std::optional<TimePoint> mFailingSince;
+  std::string mLatestDetail; ///< Of the latest call.
+  uint64_t mLapseCount = 0;  ///< Of the registration, when last looked at.
+  TimePoint mNextList = TimePoint::max();
 };
 
 } // namespace amaranthgap
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -16,22 +16,23 @@
 constexpr Duration kGiveUpBusy = milliseconds(1000);
 constexpr Duration kProbeIdle = seconds(3);
 constexpr Duration kGiveUpIdle = milliseconds(4500);
+// The same for an idle connection to a node that watches the store: its silence
+// would delay a change of the routes.
+constexpr Duration kProbeWatcher = seconds(1);
+constexpr Duration kGiveUpWatcher = milliseconds(2000);
 constexpr Duration kFirstReconnect = milliseconds(150);
 constexpr Duration kLongestReconnect = seconds(2);
-// A node that the store lists no more and that cannot be reached is forgotten
-// after this time.
-constexpr Duration kForgetAfter = seconds(2);
 
 } // namespace
 
 struct PeerLinks::Link
 {
-  PeerAddress mPeer;
+  NodeAddress mPeer;
+  NodeState mState; ///< As told on the present connection.
   std::unique_ptr<TcpStream> mStream;
   FrameReader mReader;
   bool mIsConnected = false;
-  bool mIsListed = true;
-  TimePoint mUnlistedAt{};
+  bool mIsWanted = true;
   TimePoint mLastHeard{};
   TimePoint mLastProbe{};
   TimePoint mReconnectAt{};
@@ -57,14 +58,37 @@
     }));
 }
 
+std::vector<const NodeState*>
+PeerLinks::ConnectedStates() const
+{
+  std::vector<const NodeState*> out;
+  for (const auto& [node, link] : mLinks) {
+    if (link->mIsConnected) {
+      out.push_back(&link->mState);
+    }
+  }
+  return out;
+}
+
+void
+PeerLinks::SetLinks(TimePoint aNow, const std::vector<NodeAddress>& aNodes)
+{
+  for (auto& [node, link] : mLinks) {
+    link->mIsWanted = false;
+  }
+  for (const NodeAddress& it : aNodes) {
+    Add(aNow, it);
+  }
+}
+
 void
-PeerLinks::Add(TimePoint aNow, const PeerAddress& aPeer)
+PeerLinks::Add(TimePoint aNow, const NodeAddress& aPeer)
 {
   auto& link = mLinks[aPeer.mNode];
   if (!link) {
     link = std::make_unique<Link>();
   }
-  link->mIsListed = true;
+  link->mIsWanted = true;
   if (link->mStream && link->mPeer.mRun >= aPeer.mRun) {
     return;
   }
@@ -77,15 +101,6 @@
   Open(aNow, *link);
 }
 
-void
-PeerLinks::Unlist(TimePoint aNow, const std::string& aNode)
-{
-  if (const auto it = mLinks.find(aNode); it != mLinks.end()) {
-    it->second->mIsListed = false;
-    it->second->mUnlistedAt = aNow;
-  }
-}
-
 void
 PeerLinks::Open(TimePoint aNow, Link& aLink)
 {
@@ -103,6 +118,7 @@
     aLink.mPeer.mAddress,
     { .mConnectTimeout = kConnectTimeout, .mUserTimeout = kUserTimeout },
     std::move(events));
+  aLink.mStream->Write(EncodeFrame(LinkHello{ mEvents.mSelf() }));
 }
 
 void
@@ -152,6 +168,7 @@
                     "peer-connected",
                     { { "peer", state->mNode } });
     }
+    aLink.mState = *state;
     mEvents.mState(*state);
   } else if (auto* reply = std::get_if<ForwardReply>(&aMessage)) {
     if (auto it = aLink.mPending.extract(reply->mCall)) {
@@ -161,6 +178,10 @@
     mEvents.mRoutes(std::move(routes->mDocument));
   } else if (const auto* load = std::get_if<LoadReport>(&aMessage)) {
     mEvents.mLoad(aLink.mPeer.mNode, *load);
+  } else if (const auto* nodes = std::get_if<NodeList>(&aMessage)) {
+    mEvents.mNodes(nodes->mNodes);
+  } else if (const auto* notice = std::get_if<StoreNotice>(&aMessage)) {
+    mEvents.mNotice(aLink.mPeer.mNode, *notice);
   }
 }
 
@@ -248,34 +269,46 @@
   }
 }
 
+// Silence after which a link is probed, and after which it is given up.
+PeerLinks::Silence
+PeerLinks::SilenceOf(const Link& aLink)
+{
+  if (!aLink.mPending.empty()) {
+    return { kProbeBusy, kGiveUpBusy };
+  }
+  return aLink.mState.mWatchesStore ? Silence{ kProbeWatcher, kGiveUpWatcher }
+                                    : Silence{ kProbeIdle, kGiveUpIdle };
+}
+
 void
 PeerLinks::Tick(TimePoint aNow)
 {
-  std::vector<std::string> silent;
+  std::vector<std::string> ended;
   for (auto it = mLinks.begin(); it != mLinks.end();) {
     Link& link = *it->second;
-    if (!link.mStream) {
-      if (!link.mIsListed && aNow - link.mUnlistedAt > kForgetAfter) {
+    if (!link.mIsWanted && link.mPending.empty()) {
+      if (!link.mStream) {
         it = mLinks.erase(it);
         continue;
       }
+      ended.push_back(it->first);
+    } else if (!link.mStream) {
       if (aNow >= link.mReconnectAt) {
         Open(aNow, link);
       }
     } else if (link.mIsConnected) {
-      const bool busy = !link.mPending.empty();
       const Duration quiet = aNow - link.mLastHeard;
-      if (quiet > (busy ? kGiveUpBusy : kGiveUpIdle)) {
-        silent.push_back(it->first);
-      } else if (quiet > (busy ? kProbeBusy : kProbeIdle) &&
-                 aNow - link.mLastProbe > kProbeBusy) {
+      const Silence most = SilenceOf(link);
+      if (quiet > most.mGiveUp) {
+        ended.push_back(it->first);
+      } else if (quiet > most.mProbe && aNow - link.mLastProbe > kProbeBusy) {
         link.mLastProbe = aNow;
         link.mStream->Write(EncodeFrame(LinkProbe{}));
       }
     }
     ++it;
   }
-  for (const std::string& node : silent) {
+  for (const std::string& node : ended) {
     if (const auto it = mLinks.find(node); it->second->mStream) {
       it->second->mStream->Reset();
       Ended(node, StreamEnd::ConnectionLost);
--- a/libs/proxy/src/PeerServer.cpp
+++ b/libs/proxy/src/PeerServer.cpp
@@ -43,10 +43,10 @@
     Send(mServer.mEvents.mState());
   }
 
-  void Send(const LinkMessage& aMessage)
-  {
-    mStream->Write(EncodeFrame(aMessage));
-  }
+  void Send(const LinkMessage& aMessage) { Write(EncodeFrame(aMessage)); }
+  void Write(const std::string& aFrame) { mStream->Write(aFrame); }
+  /** @return the data centre of the peer; empty before its first message. */
+  [[nodiscard]] const std::string& DataCentre() const { return mDataCentre; }
 
 private:
   void Received(std::string_view aData)
@@ -88,6 +88,12 @@
           !document.empty()) {
         Send(RoutesDocument{ std::move(document) });
       }
+    } else if (const auto* hello = std::get_if<LinkHello>(&aMessage)) {
+      mDataCentre = hello->mFrom.mDataCentre;
+      if (const NodeList nodes = mServer.mEvents.mHello(hello->mFrom);
+          !nodes.mNodes.empty()) {
+        Send(nodes);
+      }
     }
   }
 
@@ -117,6 +123,7 @@
   uint64_t mId;
   std::unique_ptr<TcpStream> mStream;
   FrameReader mReader;
+  std::string mDataCentre;
   std::unordered_map<uint64_t, uint64_t> mRunning; ///< By call of the peer.
 };
 
@@ -161,19 +168,39 @@
 }
 
 void
-PeerServer::Announce()
+PeerServer::SendToAll(const LinkMessage& aMessage)
 {
-  const NodeState state = mEvents.mState();
+  const std::string frame = EncodeFrame(aMessage);
   for (const auto& [id, connection] : mConnections) {
-    connection->Send(state);
+    connection->Write(frame);
   }
 }
 
+void
+PeerServer::Announce()
+{
+  SendToAll(mEvents.mState());
+}
+
 void
 PeerServer::Report(const LoadReport& aReport)
+{
+  SendToAll(aReport);
+}
+
+void
+PeerServer::Notify(const StoreNotice& aNotice)
+{
+  SendToAll(aNotice);
+}
+
+void
+PeerServer::TellNodes(const std::string& aDataCentre, const NodeList& aNodes)
 {
   for (const auto& [id, connection] : mConnections) {
-    connection->Send(aReport);
+    if (connection->DataCentre() == aDataCentre) {
+      connection->Send(aNodes);
+    }
   }
 }
 
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -4,6 +4,9 @@
 
 #include <fmt/format.h>
 
+#include "discovery/NodeDirectory.h"
+#include "discovery/RoutesFetch.h"
+#include "discovery/WatcherElection.h"
 #include "proxy/CallerSide.h"
 #include "proxy/Forwarder.h"
 #include "proxy/PeerLinks.h"
@@ -24,8 +27,11 @@
 constexpr Duration kTakeAfterTerm = milliseconds(2600);
 // Left of the shutdown time when the process ends whatever is in flight.
 constexpr Duration kExitMargin = milliseconds(300);
-// A peer is asked for newer routes when the store has not brought them.
-constexpr Duration kRoutesPatience = milliseconds(250);
+// Time for connections to the nodes of the region to open before it is decided
+// which ones watch the store.
+constexpr Duration kConnectPatience = milliseconds(250);
+// The nodes to be connected to are chosen again this often.
+constexpr Duration kLinksPause = milliseconds(500);
 
 // Others are told of a load this often while it is worth telling.
 constexpr Duration kReportPause = milliseconds(500);
@@ -61,7 +67,21 @@
   void StartShutdown(TimePoint aNow);
   void TakeRoutes(const std::string& aDocument, const char* aFrom);
   void PeerState(TimePoint aNow, const NodeState& aState);
+  void PeerNotice(TimePoint aNow,
+                  const std::string& aNode,
+                  const StoreNotice& aNotice);
   void AskForRoutes(TimePoint aNow);
+  NodeList PeerHello(TimePoint aNow, const NodeAddress& aPeer);
+  void LearnNodes(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
+  void UpdateLinks(TimePoint aNow);
+  /** Decides whether this node watches the store for others. */
+  void UpdateWatching(TimePoint aNow);
+  [[nodiscard]] bool IsElectedToWatch(TimePoint aNow) const;
+  /** Called when the nodes are listed; others of the data centre, which read
+   * only a part of the list, are told. */
+  void NodesListed(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
+  void Announce();
+  [[nodiscard]] NodeAddress OwnAddress() const;
   HttpResponse AnswerReady(const HttpRequest& aRequest) const;
   HttpResponse AnswerUpstream(const HttpRequest& aRequest);
   std::string MetricsText() const;
@@ -95,8 +115,10 @@
   Timer mSlowTimer;
   RouteTablePtr mRoutes;
   std::string mRoutesDocument;
-  std::map<std::string, uint64_t> mPeerRoutes; ///< Versions, by node.
-  TimePoint mRoutesAsked{};
+  NodeDirectory mDirectory;
+  RoutesFetch mRoutesFetch;
+  std::optional<TimePoint> mListedAt;
+  TimePoint mLinksUpdated{};
   TimePoint mReported{};
   std::optional<TimePoint> mShutdownSince;
   std::function<void()> mOnStopped;
@@ -187,7 +209,8 @@
              .mLost =
                [this](const std::string& aNode) {
                  mForwarder.Targets().RemoveNode(aNode);
-                 mPeerRoutes.erase(aNode);
+                 mDirectory.Lost(EventLoop::Now(), aNode);
+                 mRoutesFetch.Lost(aNode);
                },
              .mRoutes =
                [this](const std::string& aDocument) {
@@ -196,7 +219,16 @@
              .mLoad =
                [this](const std::string& aNode, const LoadReport& aReport) {
                  mForwarder.LoadTold(EventLoop::Now(), aNode, aReport);
-               } })
+               },
+             .mNodes =
+               [this](const std::vector<NodeAddress>& aNodes) {
+                 LearnNodes(EventLoop::Now(), aNodes);
+               },
+             .mNotice =
+               [this](const std::string& aNode, const StoreNotice& aNotice) {
+                 PeerNotice(EventLoop::Now(), aNode, aNotice);
+               },
+             .mSelf = [this] { return OwnAddress(); } })
   , mPeerServer(
       mLoop,
       mLogger,
@@ -215,28 +247,39 @@
           [this](uint64_t aHave) {
             return mRoutes && mRoutes->Version() > aHave ? mRoutesDocument
                                                          : std::string();
+          },
+        .mHello =
+          [this](const NodeAddress& aPeer) {
+            return PeerHello(EventLoop::Now(), aPeer);
           } })
   , mTimer(mLoop)
   , mSlowTimer(mLoop)
+  , mDirectory({ .mNode = mSettings.mNodeId,
+                 .mDataCentre = mSettings.mDataCentre,
+                 .mRegion = mSettings.mRegion })
+  , mRoutesFetch(mSeed + 4)
 {
   mFollower = std::make_unique<StoreFollower>(
     mLogger,
     *mStore,
-    StoreFollower::Options{
-      .mSelf = { mSettings.mNodeId, mRun, mSettings.mPeerAddress },
-      .mRoutesKey = mBinding.mRoutesKey,
-      .mSeed = mSeed + 3 },
-    StoreFollower::Events{ .mNodeListed =
-                             [this](const PeerAddress& aPeer) {
-                               mLinks.Add(EventLoop::Now(), aPeer);
-                             },
-                           .mNodeUnlisted =
-                             [this](const std::string& aNode) {
-                               mLinks.Unlist(EventLoop::Now(), aNode);
+    StoreFollower::Options{ .mSelf = OwnAddress(),
+                            .mRoutesKey = mBinding.mRoutesKey,
+                            .mSeed = mSeed + 3 },
+    StoreFollower::Events{ .mNodes =
+                             [this](const std::vector<NodeAddress>& aNodes) {
+                               NodesListed(EventLoop::Now(), aNodes);
                              },
                            .mRoutes =
                              [this](const std::string& aDocument) {
                                TakeRoutes(aDocument, "store");
+                             },
+                           .mReachChanged = [this] { Announce(); },
+                           .mRegained =
+                             [this] {
+                               mPeerServer.Notify(
+                                 { .mRoutesVersion =
+                                     mRoutes ? mRoutes->Version() : 0,
+                                   .mIsRegained = true });
                              } });
   mUpstream.OnChange([this] { UpstreamChanged(); });
 }
@@ -266,13 +309,37 @@
            .mInstance = mUpstream.Instance(),
            .mLimit = mUpstream.Limit(),
            .mTakesWork = mUpstream.TakesWork(),
-           .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 };
+           .mRoutesVersion = mRoutes ? mRoutes->Version() : 0,
+           .mReachesStore = mFollower->ReachesStore(),
+           .mWatchesStore = mFollower->IsWatching() };
+}
+
+NodeAddress
+ProxyProcess::Parts::OwnAddress() const
+{
+  const std::string& service = mUpstream.Service();
+  return { .mNode = mSettings.mNodeId,
+           .mRun = mRun,
+           .mAddress = mSettings.mPeerAddress,
+           .mDataCentre = mSettings.mDataCentre,
+           .mRegion = mSettings.mRegion,
+           .mService = service.empty() ? mSettings.mService : service };
+}
+
+void
+ProxyProcess::Parts::Announce()
+{
+  ++mRevision;
+  mPeerServer.Announce();
 }
 
 void
 ProxyProcess::Parts::UpstreamChanged()
 {
   ++mRevision;
+  if (!mUpstream.Service().empty()) {
+    mFollower->SetService(mUpstream.Service());
+  }
   const NodeState state = OwnState();
   mLogger.Write(EventLoop::Now(),
                 LogLevel::Info,
@@ -314,32 +381,130 @@
   mForwarder.SetRoutes(table);
   mCallers.SetLimits(table->Limits());
   ++mRevision;
-  mPeerServer.Announce();
+  if (mFollower->IsWatching()) {
+    mPeerServer.Notify({ .mRoutesVersion = table->Version() });
+  }
 }
 
 void
 ProxyProcess::Parts::PeerState(TimePoint aNow, const NodeState& aState)
 {
+  mDirectory.Connected(aState);
   mForwarder.Targets().SetTarget(aNow, aState);
-  mPeerRoutes[aState.mNode] = aState.mRoutesVersion;
-  if (mRoutesAsked < aNow) {
-    mRoutesAsked = aNow; // The store has the first word.
+  mRoutesFetch.Told(aNow,
+                    aState.mNode,
+                    aState.mDataCentre == mSettings.mDataCentre,
+                    aState.mRoutesVersion);
+  AskForRoutes(aNow);
+}
+
+void
+ProxyProcess::Parts::PeerNotice(TimePoint aNow,
+                                const std::string& aNode,
+                                const StoreNotice& aNotice)
+{
+  mRoutesFetch.Told(aNow,
+                    aNode,
+                    mForwarder.Targets().DataCentreOf(aNode) ==
+                      mSettings.mDataCentre,
+                    aNotice.mRoutesVersion);
+  AskForRoutes(aNow);
+  if (aNotice.mIsRegained) {
+    mFollower->CheckEntry(aNow);
+  }
+}
+
+NodeList
+ProxyProcess::Parts::PeerHello(TimePoint aNow, const NodeAddress& aPeer)
+{
+  LearnNodes(aNow, { aPeer });
+  NodeList out;
+  if (mFollower->IsWatching() && aPeer.mDataCentre == mSettings.mDataCentre) {
+    out.mNodes = mDirectory.All();
   }
+  return out;
 }
 
 void
-ProxyProcess::Parts::AskForRoutes(TimePoint aNow)
+ProxyProcess::Parts::LearnNodes(TimePoint aNow,
+                                const std::vector<NodeAddress>& aNodes)
 {
-  if (aNow < mRoutesAsked + kRoutesPatience) {
-    return;
+  bool isChanged = false;
+  for (const NodeAddress& it : aNodes) {
+    isChanged |= mDirectory.Learn(aNow, it);
   }
-  const uint64_t have = mRoutes ? mRoutes->Version() : 0;
-  for (const auto& [node, version] : mPeerRoutes) {
-    if (version > have) {
-      mRoutesAsked = aNow;
-      mLinks.AskRoutes(node, have);
-      return;
+  if (isChanged) {
+    mLinks.SetLinks(aNow, mDirectory.Links(aNow));
+  }
+}
+
+void
+ProxyProcess::Parts::NodesListed(TimePoint aNow,
+                                 const std::vector<NodeAddress>& aNodes)
+{
+  if (!mListedAt) {
+    mListedAt = aNow;
+  }
+  LearnNodes(aNow, aNodes);
+  if (mFollower->IsWatching()) {
+    mPeerServer.TellNodes(mSettings.mDataCentre, { aNodes });
+  }
+}
+
+void
+ProxyProcess::Parts::UpdateLinks(TimePoint aNow)
+{
+  if (aNow - mLinksUpdated >= kLinksPause) {
+    mLinksUpdated = aNow;
+    mDirectory.Forget(aNow);
+    mLinks.SetLinks(aNow, mDirectory.Links(aNow));
+  }
+}
+
+bool
+ProxyProcess::Parts::IsElectedToWatch(TimePoint aNow) const
+{
+  if (!mListedAt ||
+      (mDirectory.KnowsRegion() && aNow - *mListedAt < kConnectPatience)) {
+    return false;
+  }
+  std::vector<NodeId> others;
+  std::vector<NodeId> reaching;
+  for (const NodeState* it : mLinks.ConnectedStates()) {
+    if (it->mDataCentre != mSettings.mDataCentre) {
+      continue;
     }
+    others.push_back({ it->mNode });
+    if (it->mReachesStore) {
+      reaching.push_back({ it->mNode });
+    }
+  }
+  if (!mFollower->ReachesStore() && !reaching.empty()) {
+    return false;
+  }
+  return WatcherElection::IsElected(mSettings.mDataCentre,
+                                    { mSettings.mNodeId },
+                                    mFollower->ReachesStore() ? reaching
+                                                              : others);
+}
+
+void
+ProxyProcess::Parts::UpdateWatching(TimePoint aNow)
+{
+  const bool watches = !mShutdownSince && IsElectedToWatch(aNow);
+  if (watches != mFollower->IsWatching()) {
+    mFollower->SetWatching(aNow, watches);
+    Announce();
+  }
+}
+
+void
+ProxyProcess::Parts::AskForRoutes(TimePoint aNow)
+{
+  const uint64_t have = mRoutes ? mRoutes->Version() : 0;
+  if (const auto node =
+        mRoutesFetch.Next(aNow, have, mFollower->IsWatching())) {
+    mLinks.AskRoutes(*node, have);
   }
 }
 
@@ -385,8 +550,11 @@
   add("cancelled_total", "counter", counts.mCancelled);
   add("in_flight", "gauge", mForwarder.InFlight());
   add("upstream_in_flight", "gauge", mUpstream.InFlight());
+  add("response_buffer_bytes", "gauge", mUpstream.ResponseBytes());
   add("caller_connections", "gauge", mCallers.Connections());
   add("peers_connected", "gauge", mLinks.Connected());
+  add("nodes_known", "gauge", mDirectory.All().size());
+  add("store_watching", "gauge", mFollower->IsWatching() ? 1 : 0);
   add("routes_version", "gauge", mRoutes ? mRoutes->Version() : 0);
   return out;
 }
@@ -473,6 +641,8 @@
 void
 ProxyProcess::Parts::SlowTick(TimePoint aNow)
 {
+  UpdateLinks(aNow);
+  UpdateWatching(aNow);
   mFollower->Tick(aNow);
   mLinks.Tick(aNow);
   if (aNow - mReported >= kReportPause) {
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -1,6 +1,8 @@
 #include "proxy/StoreFollower.h"
 
 #include <charconv>
+#include <sstream>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -8,33 +10,46 @@
 
 namespace {
 
-constexpr const char* kNodesPrefix = "amaranthgap/nodes/";
+constexpr std::string_view kNodesPrefix = "amaranthgap/nodes/";
 // Longest time of one watch. Keep-alive probes notice a dead connection sooner.
-constexpr Duration kWatchTime = seconds(15);
-// Nodes that start or leave at once are learned in one watch.
-constexpr Duration kNodesPause = milliseconds(300);
+constexpr Duration kWatchTime = seconds(25);
+// Watching nodes list all regions this often, which finds nodes that were
+// forgotten while the network was partitioned.
+constexpr Duration kListInterval = seconds(60);
+// A node that watches only until its neighbours are connected lists nothing.
+constexpr Duration kFirstListDelay = milliseconds(500);
+// A store that fails calls for this time counts as not reached.
+constexpr Duration kReachPatience = milliseconds(1000);
+// Entries have to be back within two seconds after the store; the checks of all
+// nodes spread over this time.
+constexpr Duration kCheckSpread = milliseconds(800);
 
-// `run address`, as short as that: each node reads all entries.
+// `run address data-centre service`, after the region and the node in the key.
 std::string
-EncodeEntry(const PeerAddress& aPeer)
+EncodeEntry(const NodeAddress& aNode)
 {
-  return fmt::format("{} {}", aPeer.mRun, aPeer.mAddress);
+  return fmt::format("{} {} {} {}",
+                     aNode.mRun,
+                     aNode.mAddress,
+                     aNode.mDataCentre,
+                     aNode.mService);
 }
 
-std::optional<PeerAddress>
-DecodeEntry(const std::string& aNode, const std::string& aValue)
+std::optional<NodeAddress>
+DecodeEntry(std::string_view aKey, const std::string& aValue)
 {
-  PeerAddress out{ .mNode = aNode };
-  const size_t space = aValue.find(' ');
-  if (space == std::string::npos) {
+  aKey.remove_prefix(kNodesPrefix.size());
+  const size_t slash = aKey.find('/');
+  if (slash == std::string_view::npos) {
     return std::nullopt;
   }
-  const char* end = aValue.data() + space;
-  const auto [at, ec] = std::from_chars(aValue.data(), end, out.mRun);
-  out.mAddress = aValue.substr(space + 1);
-  if (ec != std::errc() || at != end || out.mAddress.empty()) {
+  NodeAddress out{ .mNode = std::string(aKey.substr(slash + 1)),
+                   .mRegion = std::string(aKey.substr(0, slash)) };
+  std::istringstream in(aValue);
+  if (!(in >> out.mRun >> out.mAddress >> out.mDataCentre)) {
     return std::nullopt;
   }
+  in >> out.mService; // Empty while no upstream is known.
   return out;
 }
 
@@ -48,76 +63,143 @@
   , mStore(aStore)
   , mOptions(std::move(aOptions))
   , mEvents(std::move(aEvents))
-  , mNodes({ .mWatchPause = kNodesPause, .mSeed = mOptions.mSeed })
-  , mRoutes({ .mSeed = mOptions.mSeed + 1 })
-  , mRegistration(mOptions.mSeed + 2)
+  , mRng(mOptions.mSeed)
+  , mRoutes({ .mSeed = mRng.Next() })
+  , mListPacer(mRng.Next())
+  , mRegistration(mRng.Next())
 {
 }
 
 std::string
 StoreFollower::OwnKey() const
 {
-  return kNodesPrefix + mOptions.mSelf.mNode;
+  return fmt::format(
+    "{}{}/{}", kNodesPrefix, mOptions.mSelf.mRegion, mOptions.mSelf.mNode);
 }
 
 void
 StoreFollower::Tick(TimePoint aNow)
 {
-  Follow(aNow, mRoutes, mOptions.mRoutesKey.c_str());
-  Follow(aNow, mNodes, kNodesPrefix);
+  if (mIsWatching) {
+    WatchRoutes(aNow);
+    if (aNow >= mNextList) {
+      mIsListDue = true;
+    }
+  }
+  ListNodes(aNow);
   Register(aNow);
+  UpdateReach(aNow);
 }
 
 void
-StoreFollower::Follow(TimePoint aNow,
-                      PrefixWatcher& aFollower,
-                      const char* aPrefix)
+StoreFollower::SetWatching(TimePoint aNow, bool aWatches)
 {
-  const auto call = aFollower.Next(aNow);
+  if (mIsWatching == aWatches) {
+    return;
+  }
+  mIsWatching = aWatches;
+  mRegistration.SetWatching(aNow, aWatches);
+  mNextList = aNow + kFirstListDelay;
+  mLogger.Write(aNow,
+                LogLevel::Info,
+                "store-watching",
+                { { "watches", aWatches ? "yes" : "no" } });
+}
+
+void
+StoreFollower::SetService(const std::string& aService)
+{
+  if (mOptions.mSelf.mService != aService) {
+    mOptions.mSelf.mService = aService;
+    mRegistration.EntryChanged();
+  }
+}
+
+void
+StoreFollower::CheckEntry(TimePoint aNow)
+{
+  mRegistration.RenewBy(aNow +
+                        FromSeconds(ToSeconds(kCheckSpread) * mRng.Uniform()));
+}
+
+void
+StoreFollower::WatchRoutes(TimePoint aNow)
+{
+  const auto call = mRoutes.Next(aNow);
   if (!call) {
     return;
   }
-  const auto done =
-    [this, &aFollower, number = call->mNumber](const StoreChanges& aResult) {
-      const auto changes = aFollower.Done(EventLoop::Now(), number, aResult);
-      NoteReach(aFollower.IsFailing(), aResult.mDetail);
-      for (const StoreChange& it : changes) {
-        if (&aFollower == &mNodes) {
-          NodeChanged(it);
-        } else if (it.mValue && it.mKey == mOptions.mRoutesKey) {
-          mEvents.mRoutes(*it.mValue);
-        }
+  const auto done = [this,
+                     number = call->mNumber](const StoreChanges& aResult) {
+    const TimePoint now = EventLoop::Now();
+    const auto changes = mRoutes.Done(now, number, aResult);
+    NoteCall(aResult.mDetail);
+    for (const StoreChange& it : changes) {
+      if (it.mValue && it.mKey == mOptions.mRoutesKey) {
+        mEvents.mRoutes(*it.mValue);
       }
-      Tick(EventLoop::Now());
-    };
+    }
+    Tick(now);
+  };
   if (call->mIsList) {
-    mStore.List(aPrefix, done);
+    mStore.List(mOptions.mRoutesKey, done);
   } else {
-    mStore.Watch(aPrefix, call->mAfter, kWatchTime, done);
+    mStore.Watch(mOptions.mRoutesKey, call->mAfter, kWatchTime, done);
   }
 }
 
+// A node lists its region once its own entry is written: of two nodes that
+// start at once, at least one finds the other and connects to it.
 void
-StoreFollower::NodeChanged(const StoreChange& aChange)
+StoreFollower::ListNodes(TimePoint aNow)
 {
-  const std::string node =
-    aChange.mKey.substr(std::string_view(kNodesPrefix).size());
-  if (node == mOptions.mSelf.mNode) {
-    if (!aChange.mValue || *aChange.mValue != EncodeEntry(mOptions.mSelf)) {
-      mRegistration.EntryMissing(EventLoop::Now());
-    }
+  if (!mIsListDue || !mListPacer.MayStart(aNow)) {
     return;
   }
-  if (!aChange.mValue) {
-    mEvents.mNodeUnlisted(node);
-  } else if (const auto peer = DecodeEntry(node, *aChange.mValue)) {
-    mEvents.mNodeListed(*peer);
+  mIsListDue = false;
+  mListPacer.Started();
+  std::string prefix(kNodesPrefix);
+  if (mIsWatching) {
+    mNextList = aNow + kListInterval;
   } else {
-    mLogger.Write(EventLoop::Now(),
-                  LogLevel::Warning,
-                  "store-entry-unusable",
-                  { { "key", aChange.mKey } });
+    prefix += mOptions.mSelf.mRegion + '/';
+  }
+  mStore.List(prefix, [this](const StoreChanges& aResult) {
+    const TimePoint now = EventLoop::Now();
+    if (aResult.mStatus == StoreStatus::Done) {
+      mListPacer.Succeeded(now);
+      NodesListed(now, aResult);
+    } else {
+      mListPacer.Failed(now);
+      mIsListDue = true;
+    }
+    NoteCall(aResult.mDetail);
+    Tick(now);
+  });
+}
+
+void
+StoreFollower::NodesListed(TimePoint aNow, const StoreChanges& aResult)
+{
+  mIsListed = true;
+  std::vector<NodeAddress> nodes;
+  bool hasOwn = false;
+  for (const StoreChange& it : aResult.mChanges) {
+    if (it.mKey == OwnKey()) {
+      hasOwn = true;
+    } else if (auto node = DecodeEntry(it.mKey, it.mValue.value_or(""))) {
+      nodes.push_back(std::move(*node));
+    } else {
+      mLogger.Write(aNow,
+                    LogLevel::Warning,
+                    "store-entry-unusable",
+                    { { "key", it.mKey } });
+    }
   }
+  if (!hasOwn) {
+    mRegistration.EntryMissing(aNow);
+  }
+  mEvents.mNodes(nodes);
 }
 
 void
@@ -127,10 +209,24 @@
   if (!call) {
     return;
   }
-  const auto done = [this](const StoreResult& aResult) {
-    mRegistration.Done(EventLoop::Now(), aResult);
-    NoteReach(mRegistration.IsFailing(), aResult.mDetail);
-    Tick(EventLoop::Now());
+  const auto done = [this, call = *call](const StoreResult& aResult) {
+    const TimePoint now = EventLoop::Now();
+    mRegistration.Done(now, aResult);
+    NoteCall(aResult.mDetail);
+    const bool isDone = aResult.mStatus == StoreStatus::Done;
+    if (isDone && call == RegistrationCall::Put) {
+      mIsListDue |= std::exchange(mListsAfterPut, false);
+    } else if (!isDone && !mIsListed) {
+      mIsListDue = true; // The list may be answered all the same.
+    }
+    if (mLapseCount != mRegistration.LapseCount()) {
+      mLapseCount = mRegistration.LapseCount();
+      mListsAfterPut = true;
+      if (mIsWatching) {
+        mEvents.mRegained();
+      }
+    }
+    Tick(now);
   };
   switch (*call) {
     case RegistrationCall::GrantLease:
@@ -146,19 +242,43 @@
   }
 }
 
+bool
+StoreFollower::IsFailing() const
+{
+  return (mIsWatching && mRoutes.IsFailing()) || mListPacer.IsFailing() ||
+         mRegistration.IsFailing();
+}
+
+void
+StoreFollower::NoteCall(const std::string& aDetail)
+{
+  mLatestDetail = aDetail;
+}
+
 void
-StoreFollower::NoteReach(bool aFailing, const std::string& aDetail)
-{
-  if (aFailing != mIsLost) {
-    mIsLost = aFailing;
-    mLogger.Write(EventLoop::Now(),
-                  aFailing ? LogLevel::Warning : LogLevel::Info,
-                  aFailing ? "store-lost" : "store-regained",
-                  { { "detail", aDetail } });
-    if (!aFailing) {
-      mNodes.ReplaceWatch(EventLoop::Now());
-      mRoutes.ReplaceWatch(EventLoop::Now());
+StoreFollower::UpdateReach(TimePoint aNow)
+{
+  if (!IsFailing()) {
+    if (std::exchange(mFailingSince, std::nullopt)) {
+      // The store may have lost the watch without closing its connection.
+      mRoutes.ReplaceWatch(aNow);
     }
+  } else if (!mFailingSince) {
+    mFailingSince = aNow;
+  }
+  const bool reaches =
+    !mFailingSince || (mReachesStore && aNow - *mFailingSince < kReachPatience);
+  if (reaches == mReachesStore) {
+    return;
+  }
+  mReachesStore = reaches;
+  mLogger.Write(aNow,
+                reaches ? LogLevel::Info : LogLevel::Warning,
+                reaches ? "store-regained" : "store-lost",
+                { { "detail", mLatestDetail } });
+  mEvents.mReachChanged();
+  if (reaches && mIsWatching) {
+    mEvents.mRegained();
   }
 }
 
--- a/libs/proxy/tests/MemoryStore.h
+++ b/libs/proxy/tests/MemoryStore.h
@@ -21,8 +21,34 @@
   std::vector<StoreChange> mHistory;
   uint64_t mRevision = 1;
   uint64_t mLastLease = 0;
+  uint64_t mEndedLeases = 0; ///< Leases up to this one have ended.
+  uint64_t mCalls = 0;
   std::vector<std::function<void()>> mWaiting; ///< Watches, to be looked at.
 
+  /** Ends all leases, as in an outage that lasts too long for them. */
+  void EndLeases(const std::string& aPrefix)
+  {
+    mEndedLeases = mLastLease;
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : mItems) {
+      if (key.starts_with(aPrefix)) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      Write(key, std::nullopt);
+    }
+  }
+
+  [[nodiscard]] size_t CountOf(const std::string& aPrefix) const
+  {
+    size_t out = 0;
+    for (const auto& [key, item] : mItems) {
+      out += key.starts_with(aPrefix) ? 1 : 0;
+    }
+    return out;
+  }
+
   void Write(const std::string& aKey, std::optional<std::string> aValue)
   {
     ++mRevision;
@@ -51,6 +77,7 @@
 
   void List(const std::string& aPrefix, ChangesCallback aDone) override
   {
+    ++mData.mCalls;
     Later([this, aPrefix, aDone] {
       StoreChanges out{ .mStatus = StoreStatus::Refused };
       if (!mIsDown) {
@@ -70,6 +97,7 @@
              Duration aWait,
              ChangesCallback aDone) override
   {
+    ++mData.mCalls;
     Later([this, aPrefix, aAfter, aWait, aDone] {
       Look(aPrefix, aAfter, aWait, aDone);
     });
@@ -93,9 +121,14 @@
     Answer(aDone, [] {});
   }
 
-  void KeepLease(uint64_t, ResultCallback aDone) override
+  void KeepLease(uint64_t aLease, ResultCallback aDone) override
   {
-    Answer(aDone, [] {});
+    if (aLease > mData.mEndedLeases || mIsDown) {
+      Answer(aDone, [] {});
+      return;
+    }
+    ++mData.mCalls;
+    Later([aDone] { aDone({ .mStatus = StoreStatus::NoLease }); });
   }
 
 private:
@@ -129,7 +162,7 @@
       if (out.mChanges.empty()) {
         mData.mWaiting.push_back(
           WhileAlive([this, aPrefix, aAfter, aWait, aDone] {
-            Watch(aPrefix, aAfter, aWait, aDone);
+            Look(aPrefix, aAfter, aWait, aDone);
           }));
         return;
       }
@@ -139,6 +172,7 @@
 
   void Answer(const ResultCallback& aDone, const std::function<void()>& aEffect)
   {
+    ++mData.mCalls;
     Later([this, aDone, aEffect] {
       if (mIsDown) {
         aDone({ .mStatus = StoreStatus::Refused });
--- a/libs/proxy/tests/ProxyFleet.h
+++ b/libs/proxy/tests/ProxyFleet.h
@@ -46,6 +46,9 @@
     }
   }
 
+  /** Places all nodes into one data centre; by default each has its own. */
+  void UseOneDataCentre() { mIsOneDataCentre = true; }
+
   /** Starts all proxies and waits until they know each other. */
   void Start(const std::string& aRoutes)
   {
@@ -59,8 +62,11 @@
     const auto peers =
       "amaranthgap_peers_connected " + std::to_string(mNodes.size() - 1);
     for (size_t n = 0; n < mNodes.size(); ++n) {
-      REQUIRE(
-        Until([&] { return Metrics(n).find(peers) != std::string::npos; }));
+      REQUIRE(Until([&] {
+        const std::string text = Metrics(n);
+        return text.find(peers) != std::string::npos &&
+               text.find("amaranthgap_routes_version 0\n") == std::string::npos;
+      }));
     }
   }
 
@@ -73,7 +79,8 @@
     ProxySettings settings;
     settings.mNodeId = "n" + std::to_string(aNode);
     settings.mRegion = "east";
-    settings.mDataCentre = "dc" + std::to_string(aNode);
+    settings.mDataCentre =
+      mIsOneDataCentre ? "dc" : "dc" + std::to_string(aNode);
     settings.mService = node.mService;
     settings.mUpstreamAddress = address(7500);
     settings.mCallerAddress = address(7501);
@@ -101,6 +108,16 @@
     REQUIRE(answer->mHttp.mStatus == 200);
   }
 
+  /** @return the value of a metric of a node, without its common prefix. */
+  int Metric(size_t aNode, const std::string& aName)
+  {
+    const std::string text = Metrics(aNode);
+    const std::string label = "\namaranthgap_" + aName + ' ';
+    const size_t at = text.find(label);
+    REQUIRE(at != std::string::npos);
+    return std::stoi(text.substr(at + label.size()));
+  }
+
   std::string Metrics(size_t aNode)
   {
     auto answer = Send(mNodes[aNode]->mHost + ":7502",
@@ -158,6 +175,7 @@
 
   Node& At(size_t aNode) { return *mNodes[aNode]; }
   MemoryStoreData& Store() { return mData; }
+  EventLoop& Loop() { return mLoop; }
 
 private:
   struct Client
@@ -251,6 +269,7 @@
   }
 
   EventLoop mLoop;
+  bool mIsOneDataCentre = false;
   MemoryStoreData mData;
   std::vector<std::unique_ptr<Node>> mNodes;
   std::vector<std::shared_ptr<Client>> mClients;
--- /dev/null
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -0,0 +1,136 @@
+#include <catch2/catch.hpp>
+
+#include "ProxyFleet.h"
+
+using namespace amaranthgap;
+
+namespace {
+
+constexpr size_t kNodes = 8;
+constexpr const char* kEntries = "amaranthgap/nodes/";
+// Shortest bound of the users for a change of the routes to be in force.
+constexpr Duration kRoutesBound = milliseconds(2500);
+// Bound of the users for entries to be back after the store is.
+constexpr Duration kEntriesBound = milliseconds(2000);
+
+/** Nodes of one data centre, of which two are going to watch the store. */
+class WatchedFleet : public ProxyFleet
+{
+public:
+  WatchedFleet()
+    : ProxyFleet(std::vector<std::string>(kNodes, "logs"))
+  {
+    UseOneDataCentre();
+    Start("5 /logs/ logs MANY 1000");
+    REQUIRE(Until([&] { return Watchers().size() == 2; }));
+    RunFor(milliseconds(1500)); // All have connected to all and elected.
+    REQUIRE(Watchers().size() == 2);
+  }
+
+  std::vector<size_t> Watchers()
+  {
+    std::vector<size_t> out;
+    for (size_t n = 0; n < kNodes; ++n) {
+      if (At(n).mProxy && Metric(n, "store_watching") == 1) {
+        out.push_back(n);
+      }
+    }
+    return out;
+  }
+
+  bool AllHaveRoutes(int aVersion)
+  {
+    for (size_t n = 0; n < kNodes; ++n) {
+      if (At(n).mProxy && Metric(n, "routes_version") != aVersion) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Writes routes and waits until they are in force. */
+  Duration TimeToForce(int aVersion)
+  {
+    const TimePoint start = EventLoop::Now();
+    Store().Write("routes",
+                  std::to_string(aVersion) + " /logs/ logs MANY 1000");
+    REQUIRE(Until([&] { return AllHaveRoutes(aVersion); }));
+    return EventLoop::Now() - start;
+  }
+};
+
+} // namespace
+
+// Guards against store calls and bytes that grow with the number of nodes.
+TEST_CASE("two nodes of a data centre watch the store for all")
+{
+  WatchedFleet fleet;
+  CHECK(fleet.TimeToForce(7) < milliseconds(500));
+  const uint64_t before = fleet.Store().mCalls;
+  fleet.RunFor(seconds(4));
+  // Renewals of the two, and the rest of their lists and watches.
+  CHECK(fleet.Store().mCalls - before <= 2 * 4);
+}
+
+// Guards against routes that are late because those who would tell are gone.
+TEST_CASE("routes are in force in time when both watchers are lost")
+{
+  WatchedFleet fleet;
+  for (const size_t n : fleet.Watchers()) {
+    fleet.At(n).mProxy.reset();
+  }
+  CHECK(fleet.TimeToForce(7) < kRoutesBound);
+}
+
+// Guards against watchers that the store turns away while it serves others.
+TEST_CASE("other nodes watch when the watchers cannot reach the store")
+{
+  WatchedFleet fleet;
+  const auto first = fleet.Watchers();
+  for (const size_t n : first) {
+    fleet.At(n).mStoreIsDown = true;
+  }
+  REQUIRE(fleet.Until([&] {
+    const auto watchers = fleet.Watchers();
+    return watchers.size() == 2 && watchers[0] != first[0] &&
+           watchers[0] != first[1] && watchers[1] != first[0] &&
+           watchers[1] != first[1];
+  }));
+  CHECK(fleet.TimeToForce(7) < kRoutesBound);
+}
+
+// Guards against entries that stay away: most nodes make no calls by which
+// they would notice the outage.
+TEST_CASE("entries that lapsed in an outage of the store are back in time")
+{
+  WatchedFleet fleet;
+  for (size_t n = 0; n < kNodes; ++n) {
+    fleet.At(n).mStoreIsDown = true;
+  }
+  fleet.RunFor(seconds(4));
+  fleet.Store().EndLeases(kEntries);
+  CHECK(fleet.Store().CountOf(kEntries) == 0);
+  for (size_t n = 0; n < kNodes; ++n) {
+    fleet.At(n).mStoreIsDown = false;
+  }
+  const TimePoint start = EventLoop::Now();
+  REQUIRE(
+    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodes; }));
+  CHECK(EventLoop::Now() - start < kEntriesBound);
+}
+
+// Guards against a node that starts while the store is away and stays alone.
+TEST_CASE("a node that starts without the store is found by the others")
+{
+  WatchedFleet fleet;
+  const size_t node = fleet.Watchers().front() == 0 ? 1 : 0;
+  fleet.At(node).mStoreIsDown = true;
+  fleet.At(node).mProxy.reset();
+  fleet.RunFor(milliseconds(100));
+  fleet.StartProxy(node);
+  fleet.Report(node, false);
+  REQUIRE(fleet.Until(
+    [&] { return fleet.Metric(node, "peers_connected") == kNodes - 1; }));
+  CHECK(fleet.Until([&] { return fleet.AllHaveRoutes(5); }));
+  CHECK(fleet.CallAndWait(node, "GET", "/logs/1", "id-1").mStatus == 200);
+}
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -29,6 +29,8 @@
   uint32_t mLimit = 0;   ///< Requests that run at once.
   bool mTakesWork = false;
   uint64_t mRoutesVersion = 0; ///< Version of the routes in force.
+  bool mReachesStore = true;
+  bool mWatchesStore = false; ///< Tells others what changes in the store.
 
   MSGPACK_DEFINE(mNode,
                  mRun,
@@ -40,7 +42,49 @@
                  mInstance,
                  mLimit,
                  mTakesWork,
-                 mRoutesVersion)
+                 mRoutesVersion,
+                 mReachesStore,
+                 mWatchesStore)
+};
+
+/** Where a node is, as it stands in the store and as nodes tell each other. */
+struct NodeAddress
+{
+  std::string mNode;
+  uint64_t mRun = 0; ///< Start of the node process; a higher one replaces.
+  std::string mAddress;
+  std::string mDataCentre;
+  std::string mRegion;
+  std::string mService; ///< Of the upstream beside it, when it was written.
+
+  MSGPACK_DEFINE(mNode, mRun, mAddress, mDataCentre, mRegion, mService)
+};
+
+/** First message on a connection, from the node that opened it, so that the
+ * other one can connect back without reading the store. */
+struct LinkHello
+{
+  NodeAddress mFrom;
+
+  MSGPACK_DEFINE(mFrom)
+};
+
+/** Nodes that the sender knows. */
+struct NodeList
+{
+  std::vector<NodeAddress> mNodes;
+
+  MSGPACK_DEFINE(mNodes)
+};
+
+/** What a node that watches the store has seen there. */
+struct StoreNotice
+{
+  uint64_t mRoutesVersion = 0; ///< Newest version that the sender holds.
+  /** The store is back after an outage, in which entries may have ended. */
+  bool mIsRegained = false;
+
+  MSGPACK_DEFINE(mRoutesVersion, mIsRegained)
 };
 
 /** Load of the gate of a target, attached to each reply. */
@@ -256,7 +300,10 @@
                                  LinkProbe,
                                  RoutesRequest,
                                  RoutesDocument,
-                                 LoadReport>;
+                                 LoadReport,
+                                 LinkHello,
+                                 NodeList,
+                                 StoreNotice>;
 
 } // namespace amaranthgap
 
