Keep the end of a run that a restarted node does not know yet

The end is kept and holds for reports of that run, by the start that the upstream tells, or for 30 s where it tells none; the late end of an earlier run with the same id no longer stops its successor. Ruled out: no work until a report is some seconds old, which keeps each restarted node out of use.

--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -49,9 +49,13 @@
   explicit HeartbeatTracker(std::string aAddress);
 
   ReportOutcome Offer(TimePoint aNow, const UpstreamReport& aReport);
-  /** Records that the given instance announced its end.
-   * @return whether it is the current instance. */
-  bool Ended(const std::string& aInstance);
+  /** Records that a run announced its end. The end also holds for reports of
+   * that run that arrive later: a node that has just started knows no run yet.
+   * @param aStartedMillis start of the run; 0 if it is not told.
+   * @return whether it is the current run. */
+  bool Ended(TimePoint aNow,
+             const std::string& aInstance,
+             int64_t aStartedMillis);
 
   /** @return the newest report, or null if there is none. */
   [[nodiscard]] const UpstreamReport* Latest() const;
@@ -61,8 +65,21 @@
   [[nodiscard]] bool TakesWork() const;
 
 private:
+  /** Run that has announced its end. */
+  struct EndedRun
+  {
+    std::string mInstance;
+    int64_t mStartedMillis = 0; ///< 0 if unknown.
+    TimePoint mTime{};
+  };
+
+  /** @return whether the run of a report has announced its end. */
+  [[nodiscard]] bool HasEnded(TimePoint aNow,
+                              const UpstreamReport& aReport) const;
+
   std::string mAddress;
   std::optional<UpstreamReport> mLatest;
+  std::optional<EndedRun> mEndedRun; ///< The latest one.
   TimePoint mLastHeard{};
   bool mEnded = false;
 };
--- a/libs/forwarding/src/HeartbeatTracker.cpp
+++ b/libs/forwarding/src/HeartbeatTracker.cpp
@@ -4,6 +4,14 @@
 
 namespace amaranthgap {
 
+namespace {
+
+// Reports of an ended run may be late by this time. Where the start of a run is
+// not told, a later report is of a new run with the same identifier.
+constexpr Duration kLatestReport = seconds(30);
+
+} // namespace
+
 HeartbeatTracker::HeartbeatTracker(std::string aAddress)
   : mAddress(std::move(aAddress))
 {
@@ -28,20 +36,42 @@
     const bool leaving = sameRun && (mLatest->mDraining || mEnded);
     mLatest = aReport;
     mLatest->mDraining = aReport.mDraining || leaving;
-    mEnded = mEnded && sameRun;
+    mEnded = (mEnded && sameRun) || HasEnded(aNow, aReport);
   } else {
     mLatest = aReport;
+    mEnded = HasEnded(aNow, aReport);
   }
   mLastHeard = aNow;
   return ReportOutcome::Current;
 }
 
 bool
-HeartbeatTracker::Ended(const std::string& aInstance)
+HeartbeatTracker::HasEnded(TimePoint aNow, const UpstreamReport& aReport) const
+{
+  if (!mEndedRun || mEndedRun->mInstance != aReport.mInstance) {
+    return false;
+  }
+  return mEndedRun->mStartedMillis != 0
+           ? aReport.mStartedMillis <= mEndedRun->mStartedMillis
+           : aNow - mEndedRun->mTime < kLatestReport;
+}
+
+bool
+HeartbeatTracker::Ended(TimePoint aNow,
+                        const std::string& aInstance,
+                        int64_t aStartedMillis)
 {
   if (!mLatest || mLatest->mInstance != aInstance) {
+    if (mLatest && aStartedMillis == 0) {
+      return false; // It may be of an earlier run; a later one can reuse its
+                    // id.
+    }
+    mEndedRun = EndedRun{ aInstance, aStartedMillis, aNow };
     return false;
   }
+  if (aStartedMillis != 0 && aStartedMillis < mLatest->mStartedMillis) {
+    return false; // Of an earlier run with the same identifier.
+  }
   mEnded = true;
   return true;
 }
--- a/libs/forwarding/tests/HeartbeatTrackerTest.cpp
+++ b/libs/forwarding/tests/HeartbeatTrackerTest.cpp
@@ -67,9 +67,9 @@
 
   HeartbeatTracker other("10.0.0.1:80");
   other.Offer(kNow, MakeReport("a", 1000, 1));
-  CHECK_FALSE(other.Ended("b"));
+  CHECK_FALSE(other.Ended(kNow, "b", 0));
   CHECK(other.TakesWork());
-  CHECK(other.Ended("a"));
+  CHECK(other.Ended(kNow, "a", 0));
   other.Offer(kNow, MakeReport("a", 1000, 2));
   CHECK_FALSE(other.TakesWork());
   other.Offer(kNow, MakeReport("b", 2000, 1));
@@ -82,3 +82,40 @@
   CHECK(log.Offer(kNow, MakeReport("a", 1000, 1)) == ReportOutcome::OtherHost);
   CHECK(log.Latest() == nullptr);
 }
+
+// Guards against new work for an upstream that left around a restart of its
+// node: the new process gets the end of a run that it knows nothing of, and a
+// late report of that run afterwards.
+TEST_CASE("a run that ended takes no work when its report comes afterwards")
+{
+  HeartbeatTracker log("10.0.0.1:80");
+  CHECK_FALSE(log.Ended(kNow, "a", 1000));
+  log.Offer(kNow + seconds(2), MakeReport("a", 1000, 9));
+  CHECK_FALSE(log.TakesWork());
+  // A later run may have the same identifier.
+  log.Offer(kNow + seconds(3), MakeReport("a", 2000, 1));
+  CHECK(log.TakesWork());
+}
+
+TEST_CASE("an end without a start holds for the time that a report may be late")
+{
+  HeartbeatTracker log("10.0.0.1:80");
+  log.Ended(kNow, "a", 0);
+  log.Offer(kNow + seconds(2), MakeReport("a", 0, 9));
+  CHECK_FALSE(log.TakesWork());
+  HeartbeatTracker other("10.0.0.1:80");
+  other.Ended(kNow, "a", 0);
+  other.Offer(kNow + seconds(40), MakeReport("a", 0, 1));
+  CHECK(other.TakesWork());
+}
+
+// Guards against the late end of an earlier run that stops its successor.
+TEST_CASE("the end of an earlier run with the same id changes nothing")
+{
+  HeartbeatTracker log("10.0.0.1:80");
+  log.Offer(kNow, MakeReport("a", 2000, 1));
+  CHECK_FALSE(log.Ended(kNow, "a", 1000));
+  CHECK(log.TakesWork());
+  CHECK(log.Ended(kNow, "a", 2000));
+  CHECK_FALSE(log.TakesWork());
+}
--- a/libs/proxy/include/proxy/Binding.h
+++ b/libs/proxy/include/proxy/Binding.h
@@ -32,6 +32,7 @@
 struct UpstreamEnd
 {
   std::string mInstance;
+  int64_t mStartedMillis = 0; ///< Start of the run that ends; 0 if not told.
 };
 
 using UpstreamMessage = std::variant<UpstreamReport, UpstreamEnd>;
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -583,7 +583,13 @@
                       { "sequence", std::to_string(report->mSequence) } });
     }
   } else {
-    mHeartbeats.Ended(std::get<UpstreamEnd>(message.value()).mInstance);
+    const auto& end = std::get<UpstreamEnd>(message.value());
+    mHeartbeats.Ended(now, end.mInstance, end.mStartedMillis);
+    mLogger.Write(now,
+                  LogLevel::Info,
+                  "upstream-ended",
+                  { { "instance", end.mInstance },
+                    { "started", std::to_string(end.mStartedMillis) } });
   }
   if (const UpstreamReport* latest = mHeartbeats.Latest()) {
     mUpstream.SetReport(*latest, mHeartbeats.TakesWork());
