Let what may run only once wait for a silent node

An operator of a similar system told of work that was given up as its machine was silent for a while. It can happen here: after a second of silence all attempts on a connection failed, also those that cannot be sent again, although the upstream worked on and its answer came.

The connection is replaced for new attempts and kept for those that may run only once, until their answer, their deadline or its end. Idempotent ones are tried elsewhere, as before.

--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,8 +17,10 @@
 namespace amaranthgap {
 
 /** Connections from this node to the nodes beside targets. A connection that
- * is silent while answers are due is probed and given up. Not safe for use by
- * several threads. */
+ * is silent while answers are due is probed and replaced. Attempts that may run
+ * only once wait for their answers on the silent connection: their node may be
+ * frozen or slow while the upstream works on. Not safe for use by several
+ * threads. */
 class PeerLinks
 {
 public:
@@ -69,6 +72,15 @@
 
 private:
   struct Link;
+  struct SilentStream;
+  /** Attempt that was sent and has no answer yet. */
+  struct Pending
+  {
+    Done mDone;
+    bool mIsIdempotent = false;
+  };
+  using PendingAttempts = std::unordered_map<uint64_t, Pending>;
+
   struct Silence
   {
     Duration mProbe;
@@ -82,13 +94,21 @@
   void Received(Link& aLink, std::string_view aData);
   void Handle(Link& aLink, LinkMessage aMessage);
   void Ended(const std::string& aNode, StreamEnd aEnd);
-  void FailPending(Link& aLink, AttemptOutcome aOutcome);
+  /** Replaces a silent connection. */
+  void GiveUp(Link& aLink);
+  /** Keeps a silent connection for the attempts that may run only once. */
+  void KeepSilentStream(Link& aLink);
+  void ReceivedSilent(SilentStream& aSilent, std::string_view aData);
+  /** Ends a silent connection; attempts without an answer may have run. */
+  void EndSilent(SilentStream& aSilent);
+  static void FailPending(PendingAttempts aPending, AttemptOutcome aOutcome);
 
   EventLoop& mLoop;
   Logger& mLogger;
   Events mEvents;
   uint64_t mLastCall = 0;
   std::map<std::string, std::unique_ptr<Link>> mLinks;
+  std::list<std::unique_ptr<SilentStream>> mSilent;
 };
 
 } // namespace amaranthgap
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -37,7 +37,16 @@
   TimePoint mLastProbe{};
   TimePoint mReconnectAt{};
   Duration mPause{};
-  std::unordered_map<uint64_t, Done> mPending;
+  PendingAttempts mPending;
+};
+
+/** Connection that was given up for new attempts. */
+struct PeerLinks::SilentStream
+{
+  std::string mNode;
+  std::unique_ptr<TcpStream> mStream;
+  FrameReader mReader;
+  PendingAttempts mPending;
 };
 
 PeerLinks::PeerLinks(EventLoop& aLoop, Logger& aLogger, Events aEvents)
@@ -172,7 +181,7 @@
     mEvents.mState(*state);
   } else if (auto* reply = std::get_if<ForwardReply>(&aMessage)) {
     if (auto it = aLink.mPending.extract(reply->mCall)) {
-      it.mapped()(std::move(*reply));
+      it.mapped().mDone(std::move(*reply));
     }
   } else if (auto* routes = std::get_if<RoutesDocument>(&aMessage)) {
     mEvents.mRoutes(std::move(routes->mDocument));
@@ -186,14 +195,14 @@
 }
 
 void
-PeerLinks::FailPending(Link& aLink, AttemptOutcome aOutcome)
+PeerLinks::FailPending(PendingAttempts aPending, AttemptOutcome aOutcome)
 {
-  for (auto& [call, done] : std::exchange(aLink.mPending, {})) {
+  for (auto& [call, pending] : aPending) {
     ForwardReply reply;
     reply.mCall = call;
     reply.mOutcome = aOutcome;
     reply.mReason = AttemptReason::PeerLost;
-    done(std::move(reply));
+    pending.mDone(std::move(reply));
   }
 }
 
@@ -218,7 +227,7 @@
                     { "pending", std::to_string(link.mPending.size()) } });
   }
   mEvents.mLost(aNode);
-  FailPending(link,
+  FailPending(std::exchange(link.mPending, {}),
               aEnd == StreamEnd::NotConnected ? AttemptOutcome::NotRun
                                               : AttemptOutcome::MayHaveRun);
 }
@@ -230,6 +239,7 @@
                 Done aDone)
 {
   const uint64_t call = ++mLastCall;
+  const bool isIdempotent = aRequest.mIdempotent;
   aRequest.mCall = call;
   const auto it = mLinks.find(aNode);
   if (it == mLinks.end() || !it->second->mStream) {
@@ -245,7 +255,7 @@
   if (link.mPending.empty()) {
     link.mLastHeard = aNow; // Silence counts from here.
   }
-  link.mPending.emplace(call, std::move(aDone));
+  link.mPending.emplace(call, Pending{ std::move(aDone), isIdempotent });
   link.mStream->Write(EncodeFrame(std::move(aRequest)));
   return call;
 }
@@ -253,11 +263,99 @@
 void
 PeerLinks::Cancel(const std::string& aNode, uint64_t aCall)
 {
+  const std::string frame = EncodeFrame(ForwardCancel{ aCall });
   const auto it = mLinks.find(aNode);
   if (it != mLinks.end() && it->second->mPending.erase(aCall) > 0 &&
       it->second->mStream) {
-    it->second->mStream->Write(EncodeFrame(ForwardCancel{ aCall }));
+    it->second->mStream->Write(frame);
+  }
+  for (const auto& silent : mSilent) {
+    if (silent->mPending.erase(aCall) > 0) {
+      silent->mStream->Write(frame);
+    }
+  }
+}
+
+void
+PeerLinks::KeepSilentStream(Link& aLink)
+{
+  auto owned = std::make_unique<SilentStream>();
+  SilentStream& silent = *owned;
+  for (auto it = aLink.mPending.begin(); it != aLink.mPending.end();) {
+    const auto next = std::next(it);
+    if (!it->second.mIsIdempotent) {
+      silent.mPending.insert(aLink.mPending.extract(it));
+    }
+    it = next;
+  }
+  if (silent.mPending.empty()) {
+    return;
+  }
+  silent.mNode = aLink.mPeer.mNode;
+  silent.mStream = std::move(aLink.mStream);
+  silent.mReader = std::move(aLink.mReader);
+  StreamCallbacks events;
+  events.mOnData = [this, &silent](std::string_view aData) {
+    ReceivedSilent(silent, aData);
+  };
+  events.mOnClosed = [this, &silent](StreamEnd) { EndSilent(silent); };
+  silent.mStream->SetCallbacks(std::move(events));
+  mLogger.Write(EventLoop::Now(),
+                LogLevel::Warning,
+                "peer-silent",
+                { { "peer", silent.mNode },
+                  { "waiting", std::to_string(silent.mPending.size()) } });
+  mSilent.push_back(std::move(owned));
+}
+
+void
+PeerLinks::ReceivedSilent(SilentStream& aSilent, std::string_view aData)
+{
+  aSilent.mReader.Feed(aData);
+  while (true) {
+    auto message = aSilent.mReader.Next();
+    if (!message) {
+      EndSilent(aSilent);
+      return;
+    }
+    if (!message.value()) {
+      return;
+    }
+    // Other messages come on the connection that has replaced this one.
+    if (auto* reply = std::get_if<ForwardReply>(&*message.value())) {
+      if (auto it = aSilent.mPending.extract(reply->mCall)) {
+        it.mapped().mDone(std::move(*reply));
+      }
+    }
+  }
+}
+
+void
+PeerLinks::EndSilent(SilentStream& aSilent)
+{
+  const auto it =
+    std::find_if(mSilent.begin(), mSilent.end(), [&](const auto& aOther) {
+      return aOther.get() == &aSilent;
+    });
+  if (it == mSilent.end()) {
+    return;
   }
+  // The stream may be on the stack.
+  const std::shared_ptr<SilentStream> silent = std::move(*it);
+  mSilent.erase(it);
+  mLoop.Defer([silent] {});
+  silent->mStream->Close();
+  FailPending(std::exchange(silent->mPending, {}), AttemptOutcome::MayHaveRun);
+}
+
+void
+PeerLinks::GiveUp(Link& aLink)
+{
+  KeepSilentStream(aLink);
+  if (aLink.mStream) {
+    aLink.mStream->Reset();
+  }
+  Ended(aLink.mPeer.mNode, StreamEnd::ConnectionLost);
 }
 
 void
@@ -310,8 +408,13 @@
   }
   for (const std::string& node : ended) {
     if (const auto it = mLinks.find(node); it->second->mStream) {
-      it->second->mStream->Reset();
-      Ended(node, StreamEnd::ConnectionLost);
+      GiveUp(*it->second);
+    }
+  }
+  for (auto it = mSilent.begin(); it != mSilent.end();) {
+    SilentStream& silent = **it++;
+    if (silent.mPending.empty()) {
+      EndSilent(silent);
     }
   }
 }
