Move finding the other nodes out of the process into a class of its own

Discovery holds the directory, the choice of connections, the election of watchers and the fetching of routes; no behaviour changes.

--- a/libs/discovery/include/discovery/NodeDirectory.h
+++ b/libs/discovery/include/discovery/NodeDirectory.h
@@ -49,6 +49,9 @@
   [[nodiscard]] std::vector<NodeAddress> Links(TimePoint aNow) const;
   /** @return all nodes known. */
   [[nodiscard]] std::vector<NodeAddress> All() const;
+  /** @return the data centre of a node; empty if it is not known. */
+  [[nodiscard]] const std::string& DataCentreOf(const std::string& aNode) const;
+  [[nodiscard]] size_t Size() const { return mEntries.size(); }
   /** @return whether another node of the own region is known. */
   [[nodiscard]] bool KnowsRegion() const;
 
--- a/libs/discovery/src/NodeDirectory.cpp
+++ b/libs/discovery/src/NodeDirectory.cpp
@@ -140,6 +140,14 @@
   return out;
 }
 
+const std::string&
+NodeDirectory::DataCentreOf(const std::string& aNode) const
+{
+  static const std::string kUnknown;
+  const auto it = mEntries.find(aNode);
+  return it == mEntries.end() ? kUnknown : it->second.mAddress.mDataCentre;
+}
+
 bool
 NodeDirectory::KnowsRegion() const
 {
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -57,8 +57,6 @@
   /** Removes the entry of this node. */
   void Leave();
 
-  /** @return whether the nodes have been listed once. */
-  [[nodiscard]] bool IsListed() const { return mIsListed; }
   [[nodiscard]] bool IsWatching() const { return mIsWatching; }
   [[nodiscard]] bool ReachesStore() const { return mReachesStore; }
 
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -4,14 +4,11 @@
 
 #include <fmt/format.h>
 
-#include "discovery/NodeDirectory.h"
-#include "discovery/RoutesFetch.h"
-#include "discovery/WatcherElection.h"
 #include "proxy/CallerSide.h"
+#include "proxy/Discovery.h"
 #include "proxy/Forwarder.h"
 #include "proxy/PeerLinks.h"
 #include "proxy/PeerServer.h"
-#include "proxy/StoreFollower.h"
 #include "proxy/UpstreamSide.h"
 
 namespace amaranthgap {
@@ -27,12 +24,6 @@
 constexpr Duration kTakeAfterTerm = milliseconds(2600);
 // Left of the shutdown time when the process ends whatever is in flight.
 constexpr Duration kExitMargin = milliseconds(300);
-// Time for connections to the nodes of the region to open before it is decided
-// which ones watch the store.
-constexpr Duration kConnectPatience = milliseconds(250);
-// The nodes to be connected to are chosen again this often.
-constexpr Duration kLinksPause = milliseconds(500);
-
 // Others are told of a load this often while it is worth telling.
 constexpr Duration kReportPause = milliseconds(500);
 
@@ -67,21 +58,7 @@
   void StartShutdown(TimePoint aNow);
   void TakeRoutes(const std::string& aDocument, const char* aFrom);
   void PeerState(TimePoint aNow, const NodeState& aState);
-  void PeerNotice(TimePoint aNow,
-                  const std::string& aNode,
-                  const StoreNotice& aNotice);
-  void AskForRoutes(TimePoint aNow);
-  NodeList PeerHello(TimePoint aNow, const NodeAddress& aPeer);
-  void LearnNodes(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
-  void UpdateLinks(TimePoint aNow);
-  /** Decides whether this node watches the store for others. */
-  void UpdateWatching(TimePoint aNow);
-  [[nodiscard]] bool IsElectedToWatch(TimePoint aNow) const;
-  /** Called when the nodes are listed; others of the data centre, which read
-   * only a part of the list, are told. */
-  void NodesListed(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
   void Announce();
-  [[nodiscard]] NodeAddress OwnAddress() const;
   HttpResponse AnswerReady(const HttpRequest& aRequest) const;
   HttpResponse AnswerUpstream(const HttpRequest& aRequest);
   std::string MetricsText() const;
@@ -110,15 +87,11 @@
   CallerSide mReportSide;
   PeerLinks mLinks;
   PeerServer mPeerServer;
-  std::unique_ptr<StoreFollower> mFollower;
+  std::unique_ptr<Discovery> mDiscovery;
   Timer mTimer;
   Timer mSlowTimer;
   RouteTablePtr mRoutes;
   std::string mRoutesDocument;
-  NodeDirectory mDirectory;
-  RoutesFetch mRoutesFetch;
-  std::optional<TimePoint> mListedAt;
-  TimePoint mLinksUpdated{};
   TimePoint mReported{};
   std::optional<TimePoint> mShutdownSince;
   std::function<void()> mOnStopped;
@@ -209,8 +182,7 @@
              .mLost =
                [this](const std::string& aNode) {
                  mForwarder.Targets().RemoveNode(aNode);
-                 mDirectory.Lost(EventLoop::Now(), aNode);
-                 mRoutesFetch.Lost(aNode);
+                 mDiscovery->PeerLost(EventLoop::Now(), aNode);
                },
              .mRoutes =
                [this](const std::string& aDocument) {
@@ -222,13 +194,13 @@
                },
              .mNodes =
                [this](const std::vector<NodeAddress>& aNodes) {
-                 LearnNodes(EventLoop::Now(), aNodes);
+                 mDiscovery->PeerNodes(EventLoop::Now(), aNodes);
                },
              .mNotice =
                [this](const std::string& aNode, const StoreNotice& aNotice) {
-                 PeerNotice(EventLoop::Now(), aNode, aNotice);
+                 mDiscovery->PeerNotice(EventLoop::Now(), aNode, aNotice);
                },
-             .mSelf = [this] { return OwnAddress(); } })
+             .mSelf = [this] { return mDiscovery->Self(); } })
   , mPeerServer(
       mLoop,
       mLogger,
@@ -250,37 +222,28 @@
           },
         .mHello =
           [this](const NodeAddress& aPeer) {
-            return PeerHello(EventLoop::Now(), aPeer);
+            return mDiscovery->PeerHello(EventLoop::Now(), aPeer);
           } })
   , mTimer(mLoop)
   , mSlowTimer(mLoop)
-  , mDirectory({ .mNode = mSettings.mNodeId,
-                 .mDataCentre = mSettings.mDataCentre,
-                 .mRegion = mSettings.mRegion })
-  , mRoutesFetch(mSeed + 4)
 {
-  mFollower = std::make_unique<StoreFollower>(
+  mDiscovery = std::make_unique<Discovery>(
     mLogger,
     *mStore,
-    StoreFollower::Options{ .mSelf = OwnAddress(),
-                            .mRoutesKey = mBinding.mRoutesKey,
-                            .mSeed = mSeed + 3 },
-    StoreFollower::Events{ .mNodes =
-                             [this](const std::vector<NodeAddress>& aNodes) {
-                               NodesListed(EventLoop::Now(), aNodes);
-                             },
-                           .mRoutes =
-                             [this](const std::string& aDocument) {
-                               TakeRoutes(aDocument, "store");
-                             },
-                           .mReachChanged = [this] { Announce(); },
-                           .mRegained =
-                             [this] {
-                               mPeerServer.Notify(
-                                 { .mRoutesVersion =
-                                     mRoutes ? mRoutes->Version() : 0,
-                                   .mIsRegained = true });
-                             } });
+    mLinks,
+    mPeerServer,
+    Discovery::Options{ .mSelf = { .mNode = mSettings.mNodeId,
+                                   .mRun = mRun,
+                                   .mAddress = mSettings.mPeerAddress,
+                                   .mDataCentre = mSettings.mDataCentre,
+                                   .mRegion = mSettings.mRegion,
+                                   .mService = mSettings.mService },
+                        .mRoutesKey = mBinding.mRoutesKey,
+                        .mSeed = mSeed + 3 },
+    Discovery::Events{
+      .mRoutes = [this](const std::string& aDocument,
+                        const char* aFrom) { TakeRoutes(aDocument, aFrom); },
+      .mStateChanged = [this] { Announce(); } });
   mUpstream.OnChange([this] { UpstreamChanged(); });
 }
 
@@ -310,20 +273,8 @@
            .mLimit = mUpstream.Limit(),
            .mTakesWork = mUpstream.TakesWork(),
            .mRoutesVersion = mRoutes ? mRoutes->Version() : 0,
-           .mReachesStore = mFollower->ReachesStore(),
-           .mWatchesStore = mFollower->IsWatching() };
-}
-
-NodeAddress
-ProxyProcess::Parts::OwnAddress() const
-{
-  const std::string& service = mUpstream.Service();
-  return { .mNode = mSettings.mNodeId,
-           .mRun = mRun,
-           .mAddress = mSettings.mPeerAddress,
-           .mDataCentre = mSettings.mDataCentre,
-           .mRegion = mSettings.mRegion,
-           .mService = service.empty() ? mSettings.mService : service };
+           .mReachesStore = mDiscovery->ReachesStore(),
+           .mWatchesStore = mDiscovery->IsWatching() };
 }
 
 void
@@ -338,7 +289,7 @@
 {
   ++mRevision;
   if (!mUpstream.Service().empty()) {
-    mFollower->SetService(mUpstream.Service());
+    mDiscovery->SetService(mUpstream.Service());
   }
   const NodeState state = OwnState();
   mLogger.Write(EventLoop::Now(),
@@ -381,138 +332,21 @@
   mForwarder.SetRoutes(table);
   mCallers.SetLimits(table->Limits());
   ++mRevision;
-  if (mFollower->IsWatching()) {
-    mPeerServer.Notify({ .mRoutesVersion = table->Version() });
-  }
+  mDiscovery->RoutesTaken(table->Version());
 }
 
 void
 ProxyProcess::Parts::PeerState(TimePoint aNow, const NodeState& aState)
 {
-  mDirectory.Connected(aState);
   mForwarder.Targets().SetTarget(aNow, aState);
-  mRoutesFetch.Told(aNow,
-                    aState.mNode,
-                    aState.mDataCentre == mSettings.mDataCentre,
-                    aState.mRoutesVersion);
-  AskForRoutes(aNow);
-}
-
-void
-ProxyProcess::Parts::PeerNotice(TimePoint aNow,
-                                const std::string& aNode,
-                                const StoreNotice& aNotice)
-{
-  mRoutesFetch.Told(aNow,
-                    aNode,
-                    mForwarder.Targets().DataCentreOf(aNode) ==
-                      mSettings.mDataCentre,
-                    aNotice.mRoutesVersion);
-  AskForRoutes(aNow);
-  if (aNotice.mIsRegained) {
-    mFollower->CheckEntry(aNow);
-  }
-}
-
-NodeList
-ProxyProcess::Parts::PeerHello(TimePoint aNow, const NodeAddress& aPeer)
-{
-  LearnNodes(aNow, { aPeer });
-  NodeList out;
-  if (mFollower->IsWatching() && aPeer.mDataCentre == mSettings.mDataCentre) {
-    out.mNodes = mDirectory.All();
-  }
-  return out;
-}
-
-void
-ProxyProcess::Parts::LearnNodes(TimePoint aNow,
-                                const std::vector<NodeAddress>& aNodes)
-{
-  bool isChanged = false;
-  for (const NodeAddress& it : aNodes) {
-    isChanged |= mDirectory.Learn(aNow, it);
-  }
-  if (isChanged) {
-    mLinks.SetLinks(aNow, mDirectory.Links(aNow));
-  }
-}
-
-void
-ProxyProcess::Parts::NodesListed(TimePoint aNow,
-                                 const std::vector<NodeAddress>& aNodes)
-{
-  if (!mListedAt) {
-    mListedAt = aNow;
-  }
-  LearnNodes(aNow, aNodes);
-  if (mFollower->IsWatching()) {
-    mPeerServer.TellNodes(mSettings.mDataCentre, { aNodes });
-  }
-}
-
-void
-ProxyProcess::Parts::UpdateLinks(TimePoint aNow)
-{
-  if (aNow - mLinksUpdated >= kLinksPause) {
-    mLinksUpdated = aNow;
-    mDirectory.Forget(aNow);
-    mLinks.SetLinks(aNow, mDirectory.Links(aNow));
-  }
-}
-
-bool
-ProxyProcess::Parts::IsElectedToWatch(TimePoint aNow) const
-{
-  if (!mListedAt ||
-      (mDirectory.KnowsRegion() && aNow - *mListedAt < kConnectPatience)) {
-    return false;
-  }
-  std::vector<NodeId> others;
-  std::vector<NodeId> reaching;
-  for (const NodeState* it : mLinks.ConnectedStates()) {
-    if (it->mDataCentre != mSettings.mDataCentre) {
-      continue;
-    }
-    others.push_back({ it->mNode });
-    if (it->mReachesStore) {
-      reaching.push_back({ it->mNode });
-    }
-  }
-  if (!mFollower->ReachesStore() && !reaching.empty()) {
-    return false;
-  }
-  return WatcherElection::IsElected(mSettings.mDataCentre,
-                                    { mSettings.mNodeId },
-                                    mFollower->ReachesStore() ? reaching
-                                                              : others);
-}
-
-void
-ProxyProcess::Parts::UpdateWatching(TimePoint aNow)
-{
-  const bool watches = !mShutdownSince && IsElectedToWatch(aNow);
-  if (watches != mFollower->IsWatching()) {
-    mFollower->SetWatching(aNow, watches);
-    Announce();
-  }
-}
-
-void
-ProxyProcess::Parts::AskForRoutes(TimePoint aNow)
-{
-  const uint64_t have = mRoutes ? mRoutes->Version() : 0;
-  if (const auto node =
-        mRoutesFetch.Next(aNow, have, mFollower->IsWatching())) {
-    mLinks.AskRoutes(*node, have);
-  }
+  mDiscovery->PeerState(aNow, aState);
 }
 
 bool
 ProxyProcess::Parts::IsReady(TimePoint aNow) const
 {
   return mRoutes && !mShutdownSince &&
-         (mFollower->IsListed() || aNow - mStarted > kListPatience);
+         (mDiscovery->IsListed() || aNow - mStarted > kListPatience);
 }
 
 HttpResponse
@@ -553,8 +387,8 @@
   add("response_buffer_bytes", "gauge", mUpstream.ResponseBytes());
   add("caller_connections", "gauge", mCallers.Connections());
   add("peers_connected", "gauge", mLinks.Connected());
-  add("nodes_known", "gauge", mDirectory.All().size());
-  add("store_watching", "gauge", mFollower->IsWatching() ? 1 : 0);
+  add("nodes_known", "gauge", mDiscovery->KnownNodes());
+  add("store_watching", "gauge", mDiscovery->IsWatching() ? 1 : 0);
   add("routes_version", "gauge", mRoutes ? mRoutes->Version() : 0);
   return out;
 }
@@ -611,7 +445,7 @@
                 LogLevel::Info,
                 "shutdown-started",
                 { { "in_flight", std::to_string(mForwarder.InFlight()) } });
-  mFollower->Leave();
+  mDiscovery->Leave(aNow);
   mUpstream.StopWork();
 }
 
@@ -647,9 +481,7 @@
 void
 ProxyProcess::Parts::SlowTick(TimePoint aNow)
 {
-  UpdateLinks(aNow);
-  UpdateWatching(aNow);
-  mFollower->Tick(aNow);
+  mDiscovery->Tick(aNow);
   mLinks.Tick(aNow);
   if (aNow - mReported >= kReportPause) {
     mReported = aNow;
@@ -659,7 +491,6 @@
       mPeerServer.Report(report);
     }
   }
-  AskForRoutes(aNow);
   mLogger.Flush();
   mCallers.CloseOverdue(aNow);
   mReadySide.CloseOverdue(aNow);
