Try a store that is down from few nodes, and tell when it is back

Once four nodes cannot reach it, the first two go on and no further ones do.

Looking into it showed a notice that nobody sent: the watchers that saw the outage had been replaced when the store was back, and those in their place had seen none, so that entries stayed away until the next renewal of 20 s. Each node that reaches the store again tells now; a test replaces the watchers at the end of an outage.

--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -34,9 +34,10 @@
     /** Takes the nodes of a list. */
     std::function<void(const std::vector<NodeAddress>&)> mNodes;
     std::function<void(std::string)> mRoutes; ///< Document, as stored.
-    /** The store can be reached again or no longer, or it has dropped the lease
-     * of this node: then others may have lost theirs. */
+    /** The store can be reached again, or no longer. */
     std::function<void()> mReachChanged;
+    /** Other nodes may have lost their entries: the store can be reached again,
+     * or this node watches and its own lease has ended. */
     std::function<void()> mRegained;
   };
 
--- a/libs/proxy/src/Discovery.cpp
+++ b/libs/proxy/src/Discovery.cpp
@@ -11,6 +11,9 @@
 // Time for connections to the nodes of the region to open before it is decided
 // which ones watch the store.
 constexpr Duration kConnectPatience = milliseconds(250);
+// So many nodes of a data centre that cannot reach the store show an outage: no
+// further ones try in their place.
+constexpr size_t kOutageNodes = 4;
 // The nodes to be connected to are chosen again this often.
 constexpr Duration kLinksInterval = milliseconds(500);
 
@@ -181,12 +184,15 @@
       reaching.push_back({ it->mNode });
     }
   }
-  if (!ReachesStore() && !reaching.empty()) {
+  const size_t unreaching =
+    others.size() - reaching.size() + (ReachesStore() ? 0 : 1);
+  const bool isOutage = reaching.empty() || unreaching >= kOutageNodes;
+  if (!ReachesStore() && !isOutage) {
     return false;
   }
   return WatcherElection::IsElected(mOptions.mSelf.mDataCentre,
                                     { mOptions.mSelf.mNode },
-                                    ReachesStore() ? reaching : others);
+                                    isOutage ? others : reaching);
 }
 
 void
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -389,6 +389,7 @@
   add("peers_connected", "gauge", mLinks.Connected());
   add("nodes_known", "gauge", mDiscovery->KnownNodes());
   add("store_watching", "gauge", mDiscovery->IsWatching() ? 1 : 0);
+  add("store_reached", "gauge", mDiscovery->ReachesStore() ? 1 : 0);
   add("routes_version", "gauge", mRoutes ? mRoutes->Version() : 0);
   return out;
 }
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -277,7 +277,8 @@
                 reaches ? "store-regained" : "store-lost",
                 { { "detail", mLatestDetail } });
   mEvents.mReachChanged();
-  if (reaches && mIsWatching) {
+  // Also when another node watches now: that one may have seen no outage.
+  if (reaches) {
     mEvents.mRegained();
   }
 }
--- a/libs/proxy/tests/StoreWatchTest.cpp
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -119,6 +119,47 @@
   CHECK(EventLoop::Now() - start < kEntriesBound);
 }
 
+// Guards against a notice that nobody sends: the watchers that saw the outage
+// have been replaced when the store is back, and those that replace them have
+// seen none.
+TEST_CASE("entries are back when the watchers change at the end of an outage")
+{
+  WatchedFleet fleet;
+  const auto watchers = fleet.Watchers();
+  for (const size_t n : watchers) {
+    fleet.At(n).mStoreIsDown = true;
+  }
+  REQUIRE(fleet.Until([&] {
+    return fleet.Watchers().size() == 2 && fleet.Watchers() != watchers;
+  }));
+  fleet.Store().EndLeases(kEntries);
+  for (const size_t n : watchers) {
+    fleet.At(n).mStoreIsDown = false;
+  }
+  const TimePoint start = EventLoop::Now();
+  REQUIRE(
+    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodes; }));
+  CHECK(EventLoop::Now() - start < kEntriesBound);
+}
+
+// Guards against calls to a store that is down from one node after another,
+// each in place of one that could not reach it.
+TEST_CASE("an outage of the store does not make all nodes try it")
+{
+  WatchedFleet fleet;
+  for (size_t n = 0; n < kNodes; ++n) {
+    fleet.At(n).mStoreIsDown = true;
+  }
+  fleet.RunFor(seconds(10));
+  size_t failing = 0;
+  for (size_t n = 0; n < kNodes; ++n) {
+    failing += fleet.Metric(n, "store_reached") == 0 ? 1 : 0;
+  }
+  // Four show the outage; nodes take over two at a time, so that one more may
+  // have begun.
+  CHECK(failing <= 5);
+}
+
 // Guards against a node that starts while the store is away and stays alone.
 TEST_CASE("a node that starts without the store is found by the others")
 {
