Check lapsed entries within half a second of the notice

A watcher notices the return of the store after 1.2 s at most; with a spread of 0.8 s the entries of all nodes could take longer than the users' bound of 2 s.

--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -101,7 +101,8 @@
   void ReceivedSilent(SilentStream& aSilent, std::string_view aData);
   /** Ends a silent connection; attempts without an answer may have run. */
   void EndSilent(SilentStream& aSilent);
-  static void FailPending(PendingAttempts aPending, AttemptOutcome aOutcome);
+  static void FailPending(const PendingAttempts& aPending,
+                          AttemptOutcome aOutcome);
 
   EventLoop& mLoop;
   Logger& mLogger;
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -195,9 +195,9 @@
 }
 
 void
-PeerLinks::FailPending(PendingAttempts aPending, AttemptOutcome aOutcome)
+PeerLinks::FailPending(const PendingAttempts& aPending, AttemptOutcome aOutcome)
 {
-  for (auto& [call, pending] : aPending) {
+  for (const auto& [call, pending] : aPending) {
     ForwardReply reply;
     reply.mCall = call;
     reply.mOutcome = aOutcome;
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kReachPatience = milliseconds(1000);
 // Entries have to be back within two seconds after the store; the checks of all
 // nodes spread over this time.
-constexpr Duration kCheckSpread = milliseconds(800);
+constexpr Duration kCheckSpread = milliseconds(500);
 
 // `run address data-centre service`, after the region and the node in the key.
 std::string
