--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -45,7 +45,7 @@
 // Load above which the expected run time at a target counts as longer, by this
 // factor at full load, so that requests turn to other targets before they have
 // to wait.
-constexpr double kHighLoad = 0.7;
+constexpr double kHighLoadShare = 0.7;
 constexpr double kFullLoadFactor = 2.5;
 constexpr double kThousandths = 1000;
 constexpr double kMillisPerSecond = 1000;
@@ -262,7 +262,8 @@
   };
   const auto rank = [&](const Candidate& aOne) {
     const double load = Load(aNow, *aOne.mTarget, aOne.mRunMillis);
-    const double excess = std::max(0.0, load - kHighLoad) / (1 - kHighLoad);
+    const double excess =
+      std::max(0.0, load - kHighLoadShare) / (1 - kHighLoadShare);
     return std::pair{ aOne.mRunMillis * (1 + (kFullLoadFactor - 1) * excess),
                       load };
   };
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kDefaultIdleTime = seconds(8);
 constexpr Duration kIdleMargin = seconds(1);
 // Responses to other requests that may precede the response to a request.
-constexpr int kMaxDiscardedResponses = 16;
+constexpr int kMaxDiscardedResponseCount = 16;
 
 // Returns `timeout=N` of the Keep-Alive header less the margin, or the default.
 Duration
@@ -55,7 +55,7 @@
     while (auto response = mReader.Next(mIsHeadRequest)) {
       if (mResponseFilter && !mResponseFilter(response->mHttp)) {
         mReusable = false;
-        if (++mDiscardedResponses > kMaxDiscardedResponses) {
+        if (++mDiscardedResponses > kMaxDiscardedResponseCount) {
           Fail(ExchangeEnd::Invalid);
           return;
         }
--- a/libs/http/src/HttpReader.cpp
+++ b/libs/http/src/HttpReader.cpp
@@ -204,7 +204,7 @@
 ResponseReader::Next(bool aIsHeadRequest)
 {
   constexpr int kFirstFinalStatus = 200;
-  constexpr int kMaxInterimResponses = 16;
+  constexpr int kMaxInterimResponseCount = 16;
   mParts->CurrentParser().skip(aIsHeadRequest);
   while (mParts->Parse()) {
     auto response = mParts->TakeResponse();
@@ -212,7 +212,7 @@
       mParts->mInterimCount = 0;
       return response;
     }
-    if (++mParts->mInterimCount > kMaxInterimResponses) {
+    if (++mParts->mInterimCount > kMaxInterimResponseCount) {
       mParts->Fail();
       return std::nullopt;
     }
--- a/libs/proxy/src/Discovery.cpp
+++ b/libs/proxy/src/Discovery.cpp
@@ -13,7 +13,7 @@
 constexpr Duration kConnectPatience = milliseconds(250);
 // So many nodes of a data centre that cannot reach the store show an outage: no
 // further ones try in their place.
-constexpr size_t kOutageNodes = 4;
+constexpr size_t kOutageNodeCount = 4;
 // The nodes to be connected to are chosen again this often.
 constexpr Duration kLinksInterval = milliseconds(500);
 
@@ -186,7 +186,7 @@
   }
   const size_t unreaching =
     others.size() - reaching.size() + (ReachesStore() ? 0 : 1);
-  const bool isOutage = reaching.empty() || unreaching >= kOutageNodes;
+  const bool isOutage = reaching.empty() || unreaching >= kOutageNodeCount;
   if (!ReachesStore() && !isOutage) {
     return false;
   }
--- a/libs/proxy/tests/EndlessResponseTest.cpp
+++ b/libs/proxy/tests/EndlessResponseTest.cpp
@@ -115,7 +115,7 @@
 {
   ProxyFleet fleet({ "crews", "logs" });
   fleet.Start("1 /logs/ logs MANY 8000");
-  constexpr size_t kCalls = 9; // The slots of the upstream.
+  constexpr size_t kCallCount = 9; // The slots of the upstream.
   constexpr size_t kLongBytes = size_t(7) * 1024 * 1024;
   const std::string body(kLongBytes, 'x');
   size_t started = 0;
@@ -128,11 +128,11 @@
       ++started;
     });
   std::vector<std::shared_ptr<ProxyFleet::Answer>> answers;
-  for (size_t n = 0; n < kCalls; ++n) {
+  for (size_t n = 0; n < kCallCount; ++n) {
     answers.push_back(
       fleet.Call(0, "GET", "/logs/1", "id-" + std::to_string(n), 8000));
   }
-  REQUIRE(fleet.Until([&] { return started >= kCalls; }));
+  REQUIRE(fleet.Until([&] { return started >= kCallCount; }));
   fleet.RunFor(seconds(1));
   size_t mostBytes = 0;
   for (int n = 0; n < 20; ++n) {
--- a/libs/proxy/tests/StoreWatchTest.cpp
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr size_t kNodes = 8;
+constexpr size_t kNodeCount = 8;
 constexpr const char* kEntries = "amaranthgap/nodes/";
 // Shortest bound of the users for a change of the routes to be in force.
 constexpr Duration kRoutesBound = milliseconds(2500);
@@ -18,7 +18,7 @@
 {
 public:
   WatchedFleet()
-    : ProxyFleet(std::vector<std::string>(kNodes, "logs"))
+    : ProxyFleet(std::vector<std::string>(kNodeCount, "logs"))
   {
     UseOneDataCentre();
     Start("5 /logs/ logs MANY 1000");
@@ -30,7 +30,7 @@
   std::vector<size_t> Watchers()
   {
     std::vector<size_t> out;
-    for (size_t n = 0; n < kNodes; ++n) {
+    for (size_t n = 0; n < kNodeCount; ++n) {
       if (At(n).mProxy && Metric(n, "store_watching") == 1) {
         out.push_back(n);
       }
@@ -40,7 +40,7 @@
 
   bool AllHaveRoutes(int aVersion)
   {
-    for (size_t n = 0; n < kNodes; ++n) {
+    for (size_t n = 0; n < kNodeCount; ++n) {
       if (At(n).mProxy && Metric(n, "routes_version") != aVersion) {
         return false;
       }
@@ -69,8 +69,8 @@
   const uint64_t before = fleet.Store().mCalls;
   fleet.RunFor(seconds(4));
   // Renewals of the two, and the rest of their lists and watches.
-  constexpr uint64_t kMostCalls = 8;
-  CHECK(fleet.Store().mCalls - before <= kMostCalls);
+  constexpr uint64_t kMaxCallCount = 8;
+  CHECK(fleet.Store().mCalls - before <= kMaxCallCount);
 }
 
 // Guards against routes that are late because those who would tell are gone.
@@ -105,18 +105,18 @@
 TEST_CASE("entries that lapsed in an outage of the store are back in time")
 {
   WatchedFleet fleet;
-  for (size_t n = 0; n < kNodes; ++n) {
+  for (size_t n = 0; n < kNodeCount; ++n) {
     fleet.At(n).mStoreIsDown = true;
   }
   fleet.RunFor(seconds(4));
   fleet.Store().EndLeases(kEntries);
   CHECK(fleet.Store().CountOf(kEntries) == 0);
-  for (size_t n = 0; n < kNodes; ++n) {
+  for (size_t n = 0; n < kNodeCount; ++n) {
     fleet.At(n).mStoreIsDown = false;
   }
   const TimePoint start = EventLoop::Now();
   REQUIRE(
-    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodes; }));
+    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodeCount; }));
   CHECK(EventLoop::Now() - start < kEntriesBound);
 }
 
@@ -139,7 +139,7 @@
   }
   const TimePoint start = EventLoop::Now();
   REQUIRE(
-    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodes; }));
+    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodeCount; }));
   CHECK(EventLoop::Now() - start < kEntriesBound);
 }
 
@@ -148,12 +148,12 @@
 TEST_CASE("an outage of the store does not make all nodes try it")
 {
   WatchedFleet fleet;
-  for (size_t n = 0; n < kNodes; ++n) {
+  for (size_t n = 0; n < kNodeCount; ++n) {
     fleet.At(n).mStoreIsDown = true;
   }
   fleet.RunFor(seconds(10));
   size_t failing = 0;
-  for (size_t n = 0; n < kNodes; ++n) {
+  for (size_t n = 0; n < kNodeCount; ++n) {
     failing += fleet.Metric(n, "store_reached") == 0 ? 1 : 0;
   }
   // Four show the outage; nodes take over two at a time, so that one more may
@@ -172,7 +172,7 @@
   fleet.StartProxy(node);
   fleet.Report(node, false);
   REQUIRE(fleet.Until(
-    [&] { return fleet.Metric(node, "peers_connected") == kNodes - 1; }));
+    [&] { return fleet.Metric(node, "peers_connected") == kNodeCount - 1; }));
   CHECK(fleet.Until([&] { return fleet.AllHaveRoutes(5); }));
   CHECK(fleet.CallAndWait(node, "GET", "/logs/1", "id-1").mStatus == 200);
 }
