--- a/libs/forwarding/tests/TargetPickerTest.cpp
+++ b/libs/forwarding/tests/TargetPickerTest.cpp
@@ -205,33 +205,49 @@
   CHECK(picker.DataCentresOf(kNow, "crews").size() == 1);
 }
 
-// Guards against requests that run into their timeout at slow targets while
-// fast ones are idle.
-TEST_CASE("fast targets get most requests while they have free slots")
+namespace {
+
+TargetPicker
+MakePickerOf(const std::vector<const char*>& aNodes)
 {
   TargetPicker picker({ .mDataCentre = "dc1", .mRegion = "east" });
-  for (const char* node : { "slow-1", "slow-2", "fast" }) {
+  for (const char* node : aNodes) {
     picker.SetTarget(kNow, MakeNode(node, "dc1", "east"));
   }
+  return picker;
+}
+
+/** @return how many of 1,000 requests each node is chosen for. */
+std::map<std::string, int>
+CountChoices(TargetPicker& aPicker)
+{
+  std::map<std::string, int> out;
+  for (int n = 0; n < 1000; ++n) {
+    ++out[ChooseNode(aPicker, kNow)];
+  }
+  return out;
+}
+
+} // namespace
+
+// Guards against requests that run into their timeout at slow targets while
+// fast ones are idle.
+TEST_CASE("fast targets get most requests while they have free slots")
+{
+  TargetPicker picker = MakePickerOf({ "slow-1", "slow-2", "fast" });
   SendReplies(picker, "slow-1", 800);
   SendReplies(picker, "slow-2", 800);
   SendReplies(picker, "fast", 350);
-  std::map<std::string, int> sent;
-  for (int n = 0; n < 1000; ++n) {
-    ++sent[ChooseNode(picker, kNow)];
-  }
+  std::map<std::string, int> sent = CountChoices(picker);
   CHECK(sent["fast"] > 800);
   // Some requests still show when a slow target becomes fast.
   CHECK(sent["slow-1"] > 10);
   CHECK(sent["slow-2"] > 10);
   // All slots of the fast one in use.
-  sent.clear();
   for (int n = 0; n < 4; ++n) {
     picker.Sent("fast");
   }
-  for (int n = 0; n < 1000; ++n) {
-    ++sent[ChooseNode(picker, kNow)];
-  }
+  sent = CountChoices(picker);
   CHECK(sent["fast"] < 700);
 }
 
@@ -239,16 +255,10 @@
 // its run time, and it may be slow at first.
 TEST_CASE("a new target gets about the share of an average one")
 {
-  TargetPicker picker({ .mDataCentre = "dc1", .mRegion = "east" });
-  for (const char* node : { "slow", "fast", "new" }) {
-    picker.SetTarget(kNow, MakeNode(node, "dc1", "east"));
-  }
+  TargetPicker picker = MakePickerOf({ "slow", "fast", "new" });
   SendReplies(picker, "slow", 800);
   SendReplies(picker, "fast", 400);
-  std::map<std::string, int> sent;
-  for (int n = 0; n < 1000; ++n) {
-    ++sent[ChooseNode(picker, kNow)];
-  }
+  std::map<std::string, int> sent = CountChoices(picker);
   CHECK(sent["new"] > 50);
   CHECK(sent["new"] < 500);
 }
--- a/libs/proxy/tests/StoreWatchTest.cpp
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -48,6 +48,21 @@
     return true;
   }
 
+  void SetStoreDown(bool aIsDown)
+  {
+    for (size_t n = 0; n < kNodeCount; ++n) {
+      At(n).mStoreIsDown = aIsDown;
+    }
+  }
+
+  /** Waits until the store has the entries of all nodes. */
+  Duration TimeToEntries()
+  {
+    const TimePoint start = EventLoop::Now();
+    REQUIRE(Until([&] { return Store().CountOf(kEntries) == kNodeCount; }));
+    return EventLoop::Now() - start;
+  }
+
   /** Writes routes and waits until they are in force. */
   Duration TimeToForce(int aVersion)
   {
@@ -105,19 +120,12 @@
 TEST_CASE("entries that lapsed in an outage of the store are back in time")
 {
   WatchedFleet fleet;
-  for (size_t n = 0; n < kNodeCount; ++n) {
-    fleet.At(n).mStoreIsDown = true;
-  }
+  fleet.SetStoreDown(true);
   fleet.RunFor(seconds(4));
   fleet.Store().EndLeases(kEntries);
   CHECK(fleet.Store().CountOf(kEntries) == 0);
-  for (size_t n = 0; n < kNodeCount; ++n) {
-    fleet.At(n).mStoreIsDown = false;
-  }
-  const TimePoint start = EventLoop::Now();
-  REQUIRE(
-    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodeCount; }));
-  CHECK(EventLoop::Now() - start < kEntriesBound);
+  fleet.SetStoreDown(false);
+  CHECK(fleet.TimeToEntries() < kEntriesBound);
 }
 
 // Guards against a notice that nobody sends: the watchers that saw the outage
@@ -137,10 +145,7 @@
   for (const size_t n : watchers) {
     fleet.At(n).mStoreIsDown = false;
   }
-  const TimePoint start = EventLoop::Now();
-  REQUIRE(
-    fleet.Until([&] { return fleet.Store().CountOf(kEntries) == kNodeCount; }));
-  CHECK(EventLoop::Now() - start < kEntriesBound);
+  CHECK(fleet.TimeToEntries() < kEntriesBound);
 }
 
 // Guards against calls to a store that is down from one node after another,
@@ -148,9 +153,7 @@
 TEST_CASE("an outage of the store does not make all nodes try it")
 {
   WatchedFleet fleet;
-  for (size_t n = 0; n < kNodeCount; ++n) {
-    fleet.At(n).mStoreIsDown = true;
-  }
+  fleet.SetStoreDown(true);
   fleet.RunFor(seconds(10));
   size_t failing = 0;
   for (size_t n = 0; n < kNodeCount; ++n) {
