--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -97,8 +97,6 @@
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
   [[nodiscard]] static RunEnd EndOf(const ForwardReply& aReply);
-  [[nodiscard]] ForwardReply Judge(ExchangeEnd aEnd,
-                                   ReceivedResponse aResponse) const;
   void Refuse(ExecutionId aExecution, AttemptReason aReason);
   void Finish(ExecutionId aExecution, ForwardReply aReply);
   void SetDown(const char* aReason);
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "http/HttpHeaders.h"
+#include "proxy/ResponseJudge.h"
 
 namespace amaranthgap {
 
@@ -19,24 +20,6 @@
 constexpr size_t kMaxResponseBytes = size_t(32) * 1024 * 1024;
 // Longest way between an entry node and this one.
 constexpr Duration kLateMargin = milliseconds(60);
-constexpr int kTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
-
-// Statuses that promise that a request was not run.
-bool
-IsNotRunStatus(int aStatus)
-{
-  return aStatus == kTimeout || aStatus == kMisdirected ||
-         aStatus == kTooManyRequests || aStatus == kUnavailable;
-}
-
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
 
 bool
 IsServerFailure(int aStatus)
@@ -223,46 +206,6 @@
     });
 }
 
-ForwardReply
-UpstreamSide::Judge(ExchangeEnd aEnd, ReceivedResponse aResponse) const
-{
-  const HeaderNames& names = mOptions.mHeaders;
-  const auto reply = [](AttemptOutcome aOutcome, AttemptReason aReason) {
-    ForwardReply out;
-    out.mOutcome = aOutcome;
-    out.mReason = aReason;
-    return out;
-  };
-  switch (aEnd) {
-    case ExchangeEnd::NotConnected:
-      return reply(AttemptOutcome::NotRun, AttemptReason::NotConnected);
-    case ExchangeEnd::Lost:
-      return reply(AttemptOutcome::MayHaveRun, AttemptReason::ConnectionLost);
-    case ExchangeEnd::Invalid:
-      return reply(AttemptOutcome::MayHaveRun, AttemptReason::InvalidResponse);
-    case ExchangeEnd::Complete:
-      break;
-  }
-  const HttpResponse& http = aResponse.mHttp;
-  if (!FindHeader(http.mHeaders, names.mNotExecuted).empty()) {
-    return reply(AttemptOutcome::NotRun,
-                 http.mStatus == kMisdirected ? AttemptReason::OtherInstance
-                                              : AttemptReason::UpstreamRefused);
-  }
-  if (http.mStatus == kMisdirected) {
-    return reply(AttemptOutcome::NotRun, AttemptReason::OtherInstance);
-  }
-  const bool isSigned = !FindHeader(http.mHeaders, names.mSignature).empty();
-  // A promise that the upstream did not make is not passed on.
-  if (IsNotRunStatus(http.mStatus) || (IsSuccess(http.mStatus) && !isSigned)) {
-    return reply(AttemptOutcome::MayHaveRun, AttemptReason::InvalidResponse);
-  }
-  ForwardReply out = reply(AttemptOutcome::Answered, AttemptReason::None);
-  out.mHttp = std::move(aResponse.mHttp);
-  out.mHttp.mHeaders = EndToEndHeaders(out.mHttp.mHeaders);
-  return out;
-}
-
 UpstreamSide::RunEnd
 UpstreamSide::EndOf(const ForwardReply& aReply)
 {
@@ -288,7 +231,8 @@
   }
   Attempt& attempt = *it->second;
   const TimePoint now = EventLoop::Now();
-  ForwardReply reply = Judge(aEnd, std::move(aResponse));
+  ForwardReply reply =
+    JudgeResponse(mOptions.mHeaders, aEnd, std::move(aResponse));
   if (attempt.mConnection->IsReusable(now)) {
     mIdle.push_back(std::move(attempt.mConnection));
   }
