--- /dev/null
+++ b/libs/proxy/include/proxy/ProxyMetrics.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "proxy/Forwarder.h"
+
+namespace amaranthgap {
+
+/** Values of one proxy that it serves to operators. */
+struct ProxyMetrics
+{
+  ForwarderCounts mCounts; ///< Since the start of the process.
+  uint64_t mInFlight = 0;
+  uint64_t mUpstreamInFlight = 0;
+  uint64_t mResponseBytes = 0; ///< Of incomplete responses.
+  uint64_t mCallerConnections = 0;
+  uint64_t mConnectedPeers = 0;
+  uint64_t mKnownNodes = 0;
+  bool mWatchesStore = false;
+  bool mReachesStore = true;
+  uint64_t mRoutesVersion = 0;
+};
+
+/** @return the metrics in the text exposition format. */
+std::string
+FormatMetrics(const ProxyMetrics& aMetrics);
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/proxy/src/ProxyMetrics.cpp
@@ -0,0 +1,38 @@
+#include "proxy/ProxyMetrics.h"
+
+#include <fmt/format.h>
+
+namespace amaranthgap {
+
+std::string
+FormatMetrics(const ProxyMetrics& aMetrics)
+{
+  const ForwarderCounts& counts = aMetrics.mCounts;
+  std::string out;
+  const auto add = [&](const char* aName, const char* aType, uint64_t aValue) {
+    out += fmt::format("# TYPE amaranthgap_{0} {1}\namaranthgap_{0} {2}\n",
+                       aName,
+                       aType,
+                       aValue);
+  };
+  add("requests_total", "counter", counts.mRequests);
+  add("answered_total", "counter", counts.mAnswered);
+  add("refused_total", "counter", counts.mRefused);
+  add("failed_total", "counter", counts.mFailed);
+  add("throttled_total", "counter", counts.mThrottled);
+  add("retries_total", "counter", counts.mRetries);
+  add("redirects_total", "counter", counts.mRedirects);
+  add("cancelled_total", "counter", counts.mCancelled);
+  add("in_flight", "gauge", aMetrics.mInFlight);
+  add("upstream_in_flight", "gauge", aMetrics.mUpstreamInFlight);
+  add("response_buffer_bytes", "gauge", aMetrics.mResponseBytes);
+  add("caller_connections", "gauge", aMetrics.mCallerConnections);
+  add("peers_connected", "gauge", aMetrics.mConnectedPeers);
+  add("nodes_known", "gauge", aMetrics.mKnownNodes);
+  add("store_watching", "gauge", aMetrics.mWatchesStore ? 1 : 0);
+  add("store_reached", "gauge", aMetrics.mReachesStore ? 1 : 0);
+  add("routes_version", "gauge", aMetrics.mRoutesVersion);
+  return out;
+}
+
+} // namespace amaranthgap
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -9,6 +9,7 @@
 #include "proxy/Forwarder.h"
 #include "proxy/PeerLinks.h"
 #include "proxy/PeerServer.h"
+#include "proxy/ProxyMetrics.h"
 #include "proxy/UpstreamSide.h"
 
 namespace amaranthgap {
@@ -366,32 +367,16 @@
 std::string
 ProxyProcess::Parts::MetricsText() const
 {
-  const ForwarderCounts& counts = mForwarder.Counts();
-  std::string out;
-  const auto add = [&](const char* aName, const char* aType, uint64_t aValue) {
-    out += fmt::format("# TYPE amaranthgap_{0} {1}\namaranthgap_{0} {2}\n",
-                       aName,
-                       aType,
-                       aValue);
-  };
-  add("requests_total", "counter", counts.mRequests);
-  add("answered_total", "counter", counts.mAnswered);
-  add("refused_total", "counter", counts.mRefused);
-  add("failed_total", "counter", counts.mFailed);
-  add("throttled_total", "counter", counts.mThrottled);
-  add("retries_total", "counter", counts.mRetries);
-  add("redirects_total", "counter", counts.mRedirects);
-  add("cancelled_total", "counter", counts.mCancelled);
-  add("in_flight", "gauge", mForwarder.InFlight());
-  add("upstream_in_flight", "gauge", mUpstream.InFlight());
-  add("response_buffer_bytes", "gauge", mUpstream.ResponseBytes());
-  add("caller_connections", "gauge", mCallers.Connections());
-  add("peers_connected", "gauge", mLinks.Connected());
-  add("nodes_known", "gauge", mDiscovery->KnownNodes());
-  add("store_watching", "gauge", mDiscovery->IsWatching() ? 1 : 0);
-  add("store_reached", "gauge", mDiscovery->ReachesStore() ? 1 : 0);
-  add("routes_version", "gauge", mRoutes ? mRoutes->Version() : 0);
-  return out;
+  return FormatMetrics({ .mCounts = mForwarder.Counts(),
+                         .mInFlight = mForwarder.InFlight(),
+                         .mUpstreamInFlight = mUpstream.InFlight(),
+                         .mResponseBytes = mUpstream.ResponseBytes(),
+                         .mCallerConnections = mCallers.Connections(),
+                         .mConnectedPeers = mLinks.Connected(),
+                         .mKnownNodes = mDiscovery->KnownNodes(),
+                         .mWatchesStore = mDiscovery->IsWatching(),
+                         .mReachesStore = mDiscovery->ReachesStore(),
+                         .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 });
 }
 
 HttpResponse
