--- a/libs/discovery/include/discovery/NodeDirectory.h
+++ b/libs/discovery/include/discovery/NodeDirectory.h
@@ -15,8 +15,9 @@
  * Nodes of the own data centre and region carry most requests; a few of each
  * service in every other region take over when the own region cannot. The
  * number of connections is bounded by the services and places, not by the
- * nodes. Which ones are chosen is a stable hash of both nodes, so that the load
- * of many callers spreads over the targets. Not thread-safe. */
+ * nodes. They are chosen by a hash of
+ * both node names, so that the load of many callers spreads over the targets.
+ * Not thread-safe. */
 class NodeDirectory
 {
 public:
@@ -37,12 +38,12 @@
   /** Takes the address of a node from the store or from another node.
    * @return whether it is new, or a newer run of a known node. */
   bool Learn(TimePoint aNow, const NodeAddress& aAddress);
-  /** Records that a node is connected and tells of itself. */
+  /** Records the state that a connected node has sent. */
   void Connected(const NodeState& aState);
   /** Records that the connection to a node ended or could not be opened. */
   void Lost(TimePoint aNow, const std::string& aNode);
-  /** Drops nodes without a connection for too long. The store or the node
-   * itself brings them back. */
+  /** Drops nodes that had no connection for too long. They are learned again
+   * from the store or when they connect. */
   void Forget(TimePoint aNow);
 
   /** @return the nodes to be connected to. */
--- a/libs/discovery/include/discovery/RoutesFetch.h
+++ b/libs/discovery/include/discovery/RoutesFetch.h
@@ -10,8 +10,8 @@
 
 namespace amaranthgap {
 
-/** Decides which node to ask for newer routes. A node that does not answer is
- * followed by another one. Not thread-safe. */
+/** Decides which node to ask for newer routes, and asks another one if it does
+ * not answer. Not thread-safe. */
 class RoutesFetch
 {
 public:
@@ -20,14 +20,15 @@
   /** Records the version that a node holds.
    * @param aIsNear whether it is in the own data centre, where large documents
    * cost nothing. */
-  void Told(TimePoint aNow,
-            const std::string& aNode,
-            bool aIsNear,
-            uint64_t aVersion);
+  void RecordVersion(TimePoint aNow,
+                     const std::string& aNode,
+                     bool aIsNear,
+                     uint64_t aVersion);
   void Lost(const std::string& aNode) { mHolders.erase(aNode); }
 
   /** @param aHave version in force; 0 without any.
-   * @param aWatchesStore whether the store itself is going to tell soon.
+   * @param aWatchesStore whether this node watches the store and is going to
+   * read the routes there soon.
    * @return the node to ask now, if any. */
   std::optional<std::string> Next(TimePoint aNow,
                                   uint64_t aHave,
--- a/libs/discovery/src/NodeDirectory.cpp
+++ b/libs/discovery/src/NodeDirectory.cpp
@@ -123,7 +123,7 @@
     }
     out.push_back(address);
     ++count.mTried;
-    // One that cannot be reached is tried again beside its replacement.
+    // An unreachable node is retried in addition to its replacement.
     count.mReachable += IsUnreachable(aNow, *it) ? 0 : 1;
   }
   return out;
--- a/libs/discovery/src/RoutesFetch.cpp
+++ b/libs/discovery/src/RoutesFetch.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Time for a nearer source, a node of the own data centre or the store, to
-// bring the routes first.
+// Time in which a nearer source (a node of the own data centre, or the store)
+// may deliver the routes before a distant node is asked.
 constexpr Duration kNearerSourcePatience = milliseconds(250);
 // Time for an answer before another node is asked.
 constexpr Duration kAnswerTime = milliseconds(300);
@@ -20,10 +20,10 @@
 }
 
 void
-RoutesFetch::Told(TimePoint aNow,
-                  const std::string& aNode,
-                  bool aIsNear,
-                  uint64_t aVersion)
+RoutesFetch::RecordVersion(TimePoint aNow,
+                           const std::string& aNode,
+                           bool aIsNear,
+                           uint64_t aVersion)
 {
   Holder& holder = mHolders[aNode];
   if (aVersion > holder.mVersion) {
@@ -37,8 +37,8 @@
   if (aNow < mNextAsk) {
     return std::nullopt;
   }
-  // The holder asked least often, nodes of the own data centre before others,
-  // and a random one of these, so that one holder does not serve all.
+  // Prefers holders that were asked least often, then those of the own data
+  // centre. Ties are broken at random, so that one holder does not serve all.
   std::pair<uint32_t, bool> least{ std::numeric_limits<uint32_t>::max(), true };
   std::string chosen;
   uint64_t equal = 0;
--- a/libs/discovery/tests/RoutesFetchTest.cpp
+++ b/libs/discovery/tests/RoutesFetchTest.cpp
@@ -15,9 +15,9 @@
 TEST_CASE("newer routes are asked of a node of the own data centre at once")
 {
   RoutesFetch fetch(1);
-  fetch.Told(kNow, "far", false, 7);
+  fetch.RecordVersion(kNow, "far", false, 7);
   CHECK_FALSE(fetch.Next(kNow, 5, false));
-  fetch.Told(kNow, "near", true, 7);
+  fetch.RecordVersion(kNow, "near", true, 7);
   CHECK(fetch.Next(kNow, 5, false) == "near");
   CHECK_FALSE(fetch.Next(kNow, 5, false)); // An answer is due.
   CHECK_FALSE(fetch.Next(kNow + seconds(1), 7, false));
@@ -26,14 +26,14 @@
 TEST_CASE("a node of another data centre is asked when no nearer one has them")
 {
   RoutesFetch fetch(1);
-  fetch.Told(kNow, "far", false, 7);
+  fetch.RecordVersion(kNow, "far", false, 7);
   CHECK(fetch.Next(kNow + milliseconds(250), 5, false) == "far");
 }
 
 TEST_CASE("a node that watches the store gives the store time to tell")
 {
   RoutesFetch fetch(1);
-  fetch.Told(kNow, "near", true, 7);
+  fetch.RecordVersion(kNow, "near", true, 7);
   CHECK_FALSE(fetch.Next(kNow + milliseconds(200), 5, true));
   CHECK(fetch.Next(kNow + milliseconds(250), 5, true) == "near");
 }
@@ -41,7 +41,7 @@
 TEST_CASE("a node without any routes waits for nobody")
 {
   RoutesFetch fetch(1);
-  fetch.Told(kNow, "far", false, 7);
+  fetch.RecordVersion(kNow, "far", false, 7);
   CHECK(fetch.Next(kNow, 0, true) == "far");
 }
 
@@ -52,7 +52,7 @@
   RoutesFetch fetch(1);
   std::set<std::string> asked;
   for (const char* node : { "a", "b", "c" }) {
-    fetch.Told(kNow, node, true, 7);
+    fetch.RecordVersion(kNow, node, true, 7);
   }
   TimePoint now = kNow;
   for (; asked.size() < 3 && now < kNow + seconds(2); now += milliseconds(10)) {
--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -51,7 +51,7 @@
   ReportOutcome Offer(TimePoint aNow, const UpstreamReport& aReport);
   /** Records that a run announced its end. The end also holds for reports of
    * that run that arrive later: a node that has just started knows no run yet.
-   * @param aStartedMillis start of the run; 0 if it is not told.
+   * @param aStartedMillis start of the run; 0 if unknown.
    * @return whether it is the current run. */
   bool Ended(TimePoint aNow,
              const std::string& aInstance,
--- a/libs/forwarding/src/HeartbeatTracker.cpp
+++ b/libs/forwarding/src/HeartbeatTracker.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Reports of an ended run may be late by this time. Where the start of a run is
-// not told, a later report is of a new run with the same identifier.
+// Maximum delay of a report. If reports have no start time, one that arrives
+// later than this after the end belongs to a new run with the same identifier.
 constexpr Duration kLatestReport = seconds(30);
 
 } // namespace
--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -38,13 +38,12 @@
 // Weight of one reply in that demand, and the time constant of its decay.
 constexpr double kDemandWeight = 0.1;
 constexpr double kDemandDecaySeconds = 2;
-// Targets whose costs differ by less than this, or than this part of the run
-// time, are chosen by run time and load.
+// Targets whose costs differ by less than the larger of these two (the second
+// is a share of the run time) are chosen by run time and load.
 constexpr double kEqualCostMillis = 1;
 constexpr double kEqualCostRunShare = 0.05;
-// Load above which the expected run time at a target counts as longer, by this
-// factor at full load, so that requests turn to other targets before they have
-// to wait.
+// Above this load the expected run time at a target is increased, up to this
+// factor at full load, so that requests go to other targets before they queue.
 constexpr double kHighLoadShare = 0.7;
 constexpr double kFullLoadFactor = 2.5;
 constexpr double kThousandths = 1000;
--- a/libs/net/tests/TcpStreamTest.cpp
+++ b/libs/net/tests/TcpStreamTest.cpp
@@ -156,7 +156,7 @@
   CHECK(server.mReceived == "last words");
 }
 
-// Guards against a host that was suspended and takes what is overdue for new.
+// Guards against overdue requests that a host sends on after a suspension.
 TEST_CASE("the time of the loop counts the time that a host is suspended")
 {
   timespec time{};
--- a/libs/proxy/include/proxy/Binding.h
+++ b/libs/proxy/include/proxy/Binding.h
@@ -32,7 +32,7 @@
 struct UpstreamEnd
 {
   std::string mInstance;
-  int64_t mStartedMillis = 0; ///< Start of the run that ends; 0 if not told.
+  int64_t mStartedMillis = 0; ///< Start of the run that ends; 0 if unknown.
 };
 
 using UpstreamMessage = std::variant<UpstreamReport, UpstreamEnd>;
--- a/libs/proxy/include/proxy/Discovery.h
+++ b/libs/proxy/include/proxy/Discovery.h
@@ -31,7 +31,7 @@
   {
     /** Takes a routes document and the kind of its source. */
     std::function<void(const std::string&, const char*)> mRoutes;
-    /** What others are told of this node has changed. */
+    /** The state that this node announces to others has changed. */
     std::function<void()> mStateChanged;
   };
 
@@ -47,7 +47,7 @@
   void Tick(TimePoint aNow);
   /** Removes this node from the store and stops watching. */
   void Leave(TimePoint aNow);
-  /** Sets the service of the upstream, as others are told. */
+  /** Sets the service of the upstream, which is part of the own address. */
   void SetService(const std::string& aService);
   /** Notes the version of the routes in force. */
   void RoutesTaken(uint64_t aVersion);
@@ -59,7 +59,7 @@
   void PeerNodes(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
   void PeerLost(TimePoint aNow, const std::string& aNode);
   /** Learns of a node that has connected.
-   * @return the nodes to tell it. */
+   * @return the nodes to send to it. */
   NodeList PeerHello(TimePoint aNow, const NodeAddress& aPeer);
 
   [[nodiscard]] const NodeAddress& Self() const { return mOptions.mSelf; }
--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -17,8 +17,8 @@
 namespace amaranthgap {
 
 /** Connections from this node to the nodes beside targets. A connection that
- * is silent while answers are due is probed and replaced. Attempts that may run
- * only once wait for their answers on the silent connection: their node may be
+ * is silent while answers are due is probed and replaced. Non-idempotent
+ * attempts wait for their answers on the silent connection: their node may be
  * frozen or slow while the upstream works on. Not safe for use by several
  * threads. */
 class PeerLinks
@@ -36,9 +36,9 @@
     /** Takes the load that a node told of itself. */
     std::function<void(const std::string&, const LoadReport&)> mLoad;
     std::function<void(const std::vector<NodeAddress>&)> mNodes;
-    /** Takes the name of the node that told. */
+    /** Takes the name of the sending node. */
     std::function<void(const std::string&, const StoreNotice&)> mNotice;
-    /** @return the address of this node, told on each new connection. */
+    /** @return the address of this node, sent on each new connection. */
     std::function<NodeAddress()> mSelf;
   };
 
@@ -67,7 +67,7 @@
 
   [[nodiscard]] size_t Size() const { return mLinks.size(); }
   [[nodiscard]] size_t Connected() const;
-  /** @return the states that connected nodes told of themselves. */
+  /** @return the latest states sent by the connected nodes. */
   [[nodiscard]] std::vector<const NodeState*> ConnectedStates() const;
 
 private:
@@ -96,7 +96,7 @@
   void Ended(const std::string& aNode, StreamEnd aEnd);
   /** Replaces a silent connection. */
   void GiveUp(Link& aLink);
-  /** Keeps a silent connection for the attempts that may run only once. */
+  /** Keeps a silent connection open for its non-idempotent attempts. */
   void KeepSilentStream(Link& aLink);
   void ReceivedSilent(SilentStream& aSilent, std::string_view aData);
   /** Ends a silent connection; attempts without an answer may have run. */
--- a/libs/proxy/include/proxy/PeerServer.h
+++ b/libs/proxy/include/proxy/PeerServer.h
@@ -28,7 +28,7 @@
     /** @return the routes document when it is newer than the version. */
     std::function<std::string(uint64_t)> mRoutes;
     /** Takes the address of a node that has connected.
-     * @return the nodes to tell it, if any. */
+     * @return the nodes to send to it, if any. */
     std::function<NodeList(const NodeAddress&)> mHello;
   };
 
@@ -40,9 +40,9 @@
   void Announce();
   /** Tells all connected nodes the load of this node. */
   void Report(const LoadReport& aReport);
-  /** Tells all connected nodes what was seen in the store. */
+  /** Sends a notice to all connected nodes. */
   void Notify(const StoreNotice& aNotice);
-  /** Tells the connected nodes of one data centre of other nodes. */
+  /** Sends a list of nodes to the connected nodes of one data centre. */
   void TellNodes(const std::string& aDataCentre, const NodeList& aNodes);
   [[nodiscard]] uint16_t Port() const { return mListener.Port(); }
 
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -16,9 +16,9 @@
 namespace amaranthgap {
 
 /** All calls of a node to the store. Every node keeps its own entry there and
- * lists its region when it starts; what changes later it learns from the nodes
- * that watch. A watching node follows the routes and lists all regions now and
- * then. Not safe for use by several threads. */
+ * lists its region when it starts; later changes reach it from the nodes that
+ * watch. A watching node watches the routes and lists all regions periodically.
+ * Not safe for use by several threads. */
 class StoreFollower
 {
 public:
@@ -31,7 +31,7 @@
 
   struct Events
   {
-    /** Takes the nodes of a list. */
+    /** Takes the listed nodes. */
     std::function<void(const std::vector<NodeAddress>&)> mNodes;
     std::function<void(std::string)> mRoutes; ///< Document, as stored.
     /** The store can be reached again, or no longer. */
@@ -52,8 +52,8 @@
   void SetWatching(TimePoint aNow, bool aWatches);
   /** Writes the service of the upstream into the entry of this node. */
   void SetService(const std::string& aService);
-  /** Checks the own entry soon, after another node has seen the store come
-   * back. */
+  /** Checks the own lease soon, because another node has reached the store
+   * again after an outage. */
   void CheckEntry(TimePoint aNow);
   /** Removes the entry of this node. */
   void Leave();
--- a/libs/proxy/src/Discovery.cpp
+++ b/libs/proxy/src/Discovery.cpp
@@ -11,8 +11,8 @@
 // Time for connections to the nodes of the region to open before it is decided
 // which ones watch the store.
 constexpr Duration kConnectPatience = milliseconds(250);
-// So many nodes of a data centre that cannot reach the store show an outage: no
-// further ones try in their place.
+// If this many nodes of a data centre cannot reach the store, it is considered
+// down, and no further nodes take over.
 constexpr size_t kOutageNodeCount = 4;
 // The nodes to be connected to are chosen again this often.
 constexpr Duration kLinksInterval = milliseconds(500);
@@ -92,10 +92,10 @@
 Discovery::PeerState(TimePoint aNow, const NodeState& aState)
 {
   mDirectory.Connected(aState);
-  mRoutesFetch.Told(aNow,
-                    aState.mNode,
-                    aState.mDataCentre == mOptions.mSelf.mDataCentre,
-                    aState.mRoutesVersion);
+  mRoutesFetch.RecordVersion(aNow,
+                             aState.mNode,
+                             aState.mDataCentre == mOptions.mSelf.mDataCentre,
+                             aState.mRoutesVersion);
   AskForRoutes(aNow);
 }
 
@@ -104,11 +104,11 @@
                       const std::string& aNode,
                       const StoreNotice& aNotice)
 {
-  mRoutesFetch.Told(aNow,
-                    aNode,
-                    mDirectory.DataCentreOf(aNode) ==
-                      mOptions.mSelf.mDataCentre,
-                    aNotice.mRoutesVersion);
+  mRoutesFetch.RecordVersion(aNow,
+                             aNode,
+                             mDirectory.DataCentreOf(aNode) ==
+                               mOptions.mSelf.mDataCentre,
+                             aNotice.mRoutesVersion);
   AskForRoutes(aNow);
   if (aNotice.mIsRegained) {
     mFollower.CheckEntry(aNow);
@@ -143,7 +143,8 @@
                                   : std::vector<NodeAddress>() };
 }
 
-// Other nodes of the data centre list only their region, and are told the rest.
+// The other nodes of the data centre list only their region; they get the nodes
+// of other regions from here.
 void
 Discovery::NodesListed(TimePoint aNow, const std::vector<NodeAddress>& aNodes)
 {
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -16,8 +16,8 @@
 constexpr Duration kGiveUpBusy = milliseconds(1000);
 constexpr Duration kProbeIdle = seconds(3);
 constexpr Duration kGiveUpIdle = milliseconds(4500);
-// The same for an idle connection to a node that watches the store: its silence
-// would delay a change of the routes.
+// The same for an idle connection to a node that watches the store, because an
+// undetected failure would delay changes of the routes.
 constexpr Duration kProbeWatcher = seconds(1);
 constexpr Duration kGiveUpWatcher = milliseconds(2000);
 constexpr Duration kFirstReconnect = milliseconds(150);
@@ -40,7 +40,7 @@
   PendingAttempts mPending;
 };
 
-/** Connection that was given up for new attempts. */
+/** Connection without new attempts, which has been replaced. */
 struct PeerLinks::SilentStream
 {
   std::string mNode;
@@ -321,7 +321,7 @@
     if (!message.value()) {
       return;
     }
-    // Other messages come on the connection that has replaced this one.
+    // All other messages also arrive on the new connection.
     if (auto* reply = std::get_if<ForwardReply>(&*message.value())) {
       if (auto it = aSilent.mPending.extract(reply->mCall)) {
         it.mapped().mDone(std::move(*reply));
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -16,15 +16,16 @@
 // Watching nodes list all regions this often, which finds nodes that were
 // forgotten while the network was partitioned.
 constexpr Duration kListInterval = seconds(60);
-// A node that watches only until its neighbours are connected lists nothing.
+// A node may be elected for a moment, until its neighbours are connected; it
+// does not list in that time.
 constexpr Duration kFirstListDelay = milliseconds(500);
-// A store that fails calls for this time counts as not reached.
+// The store counts as unreachable if calls have failed for this time.
 constexpr Duration kReachPatience = milliseconds(1000);
 // Entries have to be back within two seconds after the store; the checks of all
 // nodes spread over this time.
 constexpr Duration kCheckSpread = milliseconds(500);
 
-// `run address data-centre service`, after the region and the node in the key.
+// `run address data-centre service`; the key has the region and the node.
 std::string
 EncodeEntry(const NodeAddress& aNode)
 {
@@ -277,7 +278,8 @@
                 reaches ? "store-regained" : "store-lost",
                 { { "detail", mLatestDetail } });
   mEvents.mReachChanged();
-  // Also when another node watches now: that one may have seen no outage.
+  // Sent even if this node no longer watches: the watchers that replaced it may
+  // not have noticed the outage.
   if (reaches) {
     mEvents.mRegained();
   }
--- a/libs/proxy/tests/PeerLinksTest.cpp
+++ b/libs/proxy/tests/PeerLinksTest.cpp
@@ -12,7 +12,7 @@
 // A silent connection is replaced after this time while answers are due.
 constexpr Duration kReplaceTime = milliseconds(1500);
 
-/** Node at the other end of a link, which answers what a test tells it to. */
+/** Peer whose replies a test controls. */
 class FakePeer
 {
 public:
@@ -146,9 +146,9 @@
 
 } // namespace
 
-// Guards against giving up work that runs only once because its node is frozen
-// or slow for a while: the answer is ready and would be lost.
-TEST_CASE("what may run only once waits for a node that is silent for a while")
+// Guards against the loss of an answer that is ready: non-idempotent attempts
+// were given up when their node was frozen or slow for a second.
+TEST_CASE("non-idempotent attempts wait for a node that is silent for a while")
 {
   LinkedNode node;
   std::optional<ForwardReply> once;
@@ -156,7 +156,7 @@
   const uint64_t call = node.Send(false, once);
   node.Send(true, many);
   node.Peer().SetSilent(true);
-  // What may run again is tried elsewhere.
+  // Idempotent attempts are retried elsewhere.
   REQUIRE(node.Until([&] { return many.has_value(); }, kReplaceTime));
   CHECK(many->mOutcome == AttemptOutcome::MayHaveRun);
   CHECK(many->mReason == AttemptReason::PeerLost);
--- a/libs/proxy/tests/StoreWatchTest.cpp
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -88,7 +88,7 @@
   CHECK(fleet.Store().mCalls - before <= kMaxCallCount);
 }
 
-// Guards against routes that are late because those who would tell are gone.
+// Guards against late routes after a loss of the watchers.
 TEST_CASE("routes are in force in time when both watchers are lost")
 {
   WatchedFleet fleet;
@@ -159,8 +159,8 @@
   for (size_t n = 0; n < kNodeCount; ++n) {
     failing += fleet.Metric(n, "store_reached") == 0 ? 1 : 0;
   }
-  // Four show the outage; nodes take over two at a time, so that one more may
-  // have begun.
+  // Four unreachable nodes show the outage. Nodes take over two at a time, so
+  // one more may have started.
   CHECK(failing <= 5);
 }
 
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -47,7 +47,7 @@
                  mWatchesStore)
 };
 
-/** Where a node is, as it stands in the store and as nodes tell each other. */
+/** Address and location of a node, as stored and as exchanged between nodes. */
 struct NodeAddress
 {
   std::string mNode;
