Tell in logs and metrics which rate limit an upstream names and what it is sent

The limit that upstreams name in their answers, and that they leave, stood in no line and no metric. The headers are decoded in the adapter now; the proxy logs upstream-notice when what an answer says changes, and upstream-limited once a second while a limit is named, with the attempts that the gate has sent. upstream_sent_total and upstream_rate_limit are metrics.

With these, three hypotheses can be told apart: a gate that sends more than the limit (sent above limit_per_s), requests that bypass it (more at the upstream than sent), and a limit that is lost in a restart (no upstream-limited afterwards).

No decision is changed.

--- a/libs/proxy/include/proxy/Binding.h
+++ b/libs/proxy/include/proxy/Binding.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -37,6 +38,16 @@
 
 using UpstreamMessage = std::variant<UpstreamReport, UpstreamEnd>;
 
+/** What an answer of an upstream says of the upstream itself. */
+struct AnswerNotice
+{
+  /** Rate of requests that it takes from all nodes together; no limit if empty.
+   */
+  std::optional<double> mRequestsPerSecond;
+  bool mIsLeaving = false;
+  std::string mUnusable; ///< Header that could not be read; empty if none.
+};
+
 /** What a deployment brings along: its names, its store, and the forms in
  * which its operators and upstreams write. */
 struct Binding
@@ -46,6 +57,7 @@
   std::string mRoutesKey; ///< Key of the routes in the store.
   std::function<Result<RouteTablePtr>(std::string_view)> mReadRoutes;
   std::function<Result<UpstreamMessage>(const HttpRequest&)> mReadUpstream;
+  std::function<AnswerNotice(const HttpHeaders&)> mReadNotice;
   /** @return the id of the request that made a call, by the id of the call;
    * empty for a request that no other one made. */
   std::function<std::string_view(std::string_view)> mParentId;
--- a/libs/proxy/include/proxy/ProxyMetrics.h
+++ b/libs/proxy/include/proxy/ProxyMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "proxy/Forwarder.h"
@@ -13,6 +14,9 @@
   ForwarderCounts mCounts; ///< Since the start of the process.
   uint64_t mInFlight = 0;
   uint64_t mUpstreamInFlight = 0;
+  uint64_t mUpstreamSent = 0; ///< Attempts sent to the upstream.
+  /** Requests per second that the upstream takes; no limit if empty. */
+  std::optional<double> mUpstreamRateLimit;
   uint64_t mResponseBytes = 0; ///< Of incomplete responses.
   uint64_t mCallerConnections = 0;
   uint64_t mConnectedPeers = 0;
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -31,6 +31,7 @@
   {
     std::string mAddress;
     HeaderNames mHeaders;
+    std::function<AnswerNotice(const HttpHeaders&)> mReadNotice;
   };
 
   using Done = std::function<void(ForwardReply)>;
@@ -71,6 +72,13 @@
   [[nodiscard]] size_t InFlight() const { return mAttempts.size(); }
   /** @return the bytes of memory that incomplete responses take. */
   [[nodiscard]] size_t ResponseBytes() const;
+  /** @return the attempts that were sent to the upstream so far. */
+  [[nodiscard]] uint64_t SentCount() const { return mSentCount; }
+  /** @return the rate limit that the upstream names, in requests per second. */
+  [[nodiscard]] std::optional<double> RateLimit() const
+  {
+    return mNotice.mRequestsPerSecond;
+  }
   /** Called when TakesWork() or the instance changes. */
   void OnChange(std::function<void()> aCallback)
   {
@@ -97,12 +105,16 @@
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
   [[nodiscard]] static RunEnd EndOf(const ForwardReply& aReply);
+  /** Takes what an answer says of the upstream itself. */
+  void NoteAnswer(TimePoint aNow, const AnswerNotice& aNotice);
   void Refuse(ExecutionId aExecution, AttemptReason aReason);
   void Finish(ExecutionId aExecution, ForwardReply aReply);
   void SetDown(const char* aReason);
   std::unique_ptr<ClientConnection> TakeConnection(TimePoint aNow);
   /** Logs what the upstream cannot take, once a second. */
   void LogOverload(TimePoint aNow);
+  /** Logs what is sent to an upstream with a rate limit, once a second. */
+  void LogRate(TimePoint aNow);
   /** Notes that a running attempt holds its slot no more. */
   void FreeSlot(TimePoint aNow, Attempt& aAttempt, RunEnd aEnd);
   /** @return what the upstream and those below it can take of a kind. */
@@ -122,6 +134,10 @@
   bool mStopped = false;
   uint32_t mSlots = 0;
   TimePoint mOverloadLogged{};
+  AnswerNotice mNotice; ///< Of the latest answer.
+  uint64_t mSentCount = 0;
+  TimePoint mRateLogged{};
+  uint64_t mSentAtRateLog = 0;
   uint64_t mLastId = 0;
   std::unordered_map<ExecutionId, std::unique_ptr<Attempt>> mAttempts;
   std::multimap<TimePoint, ExecutionId> mByDeadline;
--- a/libs/proxy/src/ProxyMetrics.cpp
+++ b/libs/proxy/src/ProxyMetrics.cpp
@@ -25,6 +25,12 @@
   add("cancelled_total", "counter", counts.mCancelled);
   add("in_flight", "gauge", aMetrics.mInFlight);
   add("upstream_in_flight", "gauge", aMetrics.mUpstreamInFlight);
+  add("upstream_sent_total", "counter", aMetrics.mUpstreamSent);
+  if (aMetrics.mUpstreamRateLimit) {
+    out += fmt::format("# TYPE amaranthgap_upstream_rate_limit gauge\n"
+                       "amaranthgap_upstream_rate_limit {:.3f}\n",
+                       *aMetrics.mUpstreamRateLimit);
+  }
   add("response_buffer_bytes", "gauge", aMetrics.mResponseBytes);
   add("caller_connections", "gauge", aMetrics.mCallerConnections);
   add("peers_connected", "gauge", aMetrics.mConnectedPeers);
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -109,10 +109,11 @@
               .mLinesPerSecond = mSettings.mLogLinesPerSecond,
               .mCollectsLines = true })
   , mStore(mBinding.mOpenStore(mLoop, mSettings.mStoreAddress))
-  , mUpstream(
-      mLoop,
-      mLogger,
-      { .mAddress = mSettings.mUpstreamAddress, .mHeaders = mBinding.mHeaders })
+  , mUpstream(mLoop,
+              mLogger,
+              { .mAddress = mSettings.mUpstreamAddress,
+                .mHeaders = mBinding.mHeaders,
+                .mReadNotice = mBinding.mReadNotice })
   , mHeartbeats(mSettings.mUpstreamAddress)
   , mForwarder(
       mLogger,
@@ -370,6 +371,8 @@
   return FormatMetrics({ .mCounts = mForwarder.Counts(),
                          .mInFlight = mForwarder.InFlight(),
                          .mUpstreamInFlight = mUpstream.InFlight(),
+                         .mUpstreamSent = mUpstream.SentCount(),
+                         .mUpstreamRateLimit = mUpstream.RateLimit(),
                          .mResponseBytes = mUpstream.ResponseBytes(),
                          .mCallerConnections = mCallers.Connections(),
                          .mConnectedPeers = mLinks.Connected(),
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -18,6 +18,7 @@
 constexpr double kThousandths = 1000;
 // Most memory of all incomplete responses. The smallest hosts have 160 MB.
 constexpr size_t kMaxResponseBytes = size_t(32) * 1024 * 1024;
+constexpr Duration kLogInterval = seconds(1);
 // Longest way between an entry node and this one.
 constexpr Duration kLateMargin = milliseconds(60);
 
@@ -195,6 +196,7 @@
   http.mHeaders.emplace_back(names.mExpectedInstance, mInstance);
   http.mHeaders.emplace_back(names.mCallerService,
                              aAttempt.mRequest.mCallerService);
+  ++mSentCount;
   aAttempt.mConnection = TakeConnection(aNow);
   const auto isOurs = [id = aAttempt.mRequest.mRequestId,
                        name = names.mRequestId](const HttpResponse& aResponse) {
@@ -231,8 +233,13 @@
   }
   Attempt& attempt = *it->second;
   const TimePoint now = EventLoop::Now();
+  const AnswerNotice notice = mOptions.mReadNotice(aResponse.mHttp.mHeaders);
   ForwardReply reply =
     JudgeResponse(mOptions.mHeaders, aEnd, std::move(aResponse));
+  if (reply.mOutcome == AttemptOutcome::Answered ||
+      reply.mReason == AttemptReason::UpstreamRefused) {
+    NoteAnswer(now, notice);
+  }
   if (attempt.mConnection->IsReusable(now)) {
     mIdle.push_back(std::move(attempt.mConnection));
   }
@@ -246,6 +253,25 @@
   StartNext(now);
 }
 
+void
+UpstreamSide::NoteAnswer(TimePoint aNow, const AnswerNotice& aNotice)
+{
+  if (aNotice.mRequestsPerSecond != mNotice.mRequestsPerSecond ||
+      aNotice.mIsLeaving != mNotice.mIsLeaving ||
+      aNotice.mUnusable != mNotice.mUnusable) {
+    const auto& rate = aNotice.mRequestsPerSecond;
+    mLogger.Write(aNow,
+                  LogLevel::Info,
+                  "upstream-notice",
+                  { { "instance", mInstance },
+                    { "limit_per_s", rate ? fmt::format("{:.2f}", *rate) : "" },
+                    { "leaving", aNotice.mIsLeaving ? "yes" : "no" },
+                    { "unusable", aNotice.mUnusable },
+                    { "sent", std::to_string(mSentCount) } });
+  }
+  mNotice = aNotice;
+}
+
 void
 UpstreamSide::FreeSlot(TimePoint aNow, Attempt& aAttempt, RunEnd aEnd)
 {
@@ -373,6 +399,7 @@
                 [&](const auto& aOne) { return !aOne->IsReusable(aNow); });
   StartNext(aNow);
   LogOverload(aNow);
+  LogRate(aNow);
 }
 
 size_t
@@ -413,11 +440,30 @@
   }
 }
 
+void
+UpstreamSide::LogRate(TimePoint aNow)
+{
+  if (aNow - mRateLogged < kLogInterval) {
+    return;
+  }
+  if (const auto rate = RateLimit()) {
+    mLogger.Write(aNow,
+                  LogLevel::Info,
+                  "upstream-limited",
+                  { { "instance", mInstance },
+                    { "limit_per_s", fmt::format("{:.2f}", *rate) },
+                    { "sent", std::to_string(mSentCount - mSentAtRateLog) },
+                    { "running", std::to_string(mGate.Running()) },
+                    { "waiting", std::to_string(mGate.Waiting()) } });
+  }
+  mRateLogged = aNow;
+  mSentAtRateLog = mSentCount;
+}
+
 void
 UpstreamSide::LogOverload(TimePoint aNow)
 {
-  constexpr Duration kPause = seconds(1);
-  if (aNow - mOverloadLogged < kPause) {
+  if (aNow - mOverloadLogged < kLogInterval) {
     return;
   }
   std::vector<LogField> fields{ { "instance", mInstance },
--- a/libs/proxy/tests/ProxyFleet.h
+++ b/libs/proxy/tests/ProxyFleet.h
@@ -221,6 +221,7 @@
     out.mReadUpstream = [&aNode](const HttpRequest& aRequest) {
       return ReadReport(aNode.mHost + ":7500", aRequest.mBody);
     };
+    out.mReadNotice = ReadNotice;
     out.mParentId = [](std::string_view aId) {
       return aId.substr(0, aId.find('/') == aId.npos ? 0 : aId.find('/'));
     };
@@ -255,6 +256,16 @@
     return RouteTable::Build(std::move(content));
   }
 
+  static AnswerNotice ReadNotice(const HttpHeaders& aHeaders)
+  {
+    AnswerNotice out;
+    if (const auto rate = FindHeader(aHeaders, "Test-Rate"); !rate.empty()) {
+      out.mRequestsPerSecond = std::stod(std::string(rate));
+    }
+    out.mIsLeaving = !FindHeader(aHeaders, "Test-Leaving").empty();
+    return out;
+  }
+
   /** Reads `INSTANCE SERVICE DRAINING SEQUENCE`. */
   static Result<UpstreamMessage> ReadReport(const std::string& aAddress,
                                             const std::string& aBody)
