--- a/libs/proxy/tests/ProxyFleet.h
+++ b/libs/proxy/tests/ProxyFleet.h
@@ -22,6 +22,7 @@
     std::unique_ptr<FakeUpstream> mUpstream;
     std::unique_ptr<ProxyProcess> mProxy;
     std::string mService;
+    uint32_t mSlots = 10;
     uint64_t mSequence = 0;
     bool mIsStopped = false;
   };
@@ -219,7 +220,7 @@
     out.mRoutesKey = "routes";
     out.mReadRoutes = ReadRoutes;
     out.mReadUpstream = [&aNode](const HttpRequest& aRequest) {
-      return ReadReport(aNode.mHost + ":7500", aRequest.mBody);
+      return ReadReport(aNode, aRequest.mBody);
     };
     out.mReadNotice = ReadNotice;
     out.mParentId = [](std::string_view aId) {
@@ -267,11 +268,12 @@
   }
 
   /** Reads `INSTANCE SERVICE DRAINING SEQUENCE`. */
-  static Result<UpstreamMessage> ReadReport(const std::string& aAddress,
+  static Result<UpstreamMessage> ReadReport(const Node& aNode,
                                             const std::string& aBody)
   {
     std::istringstream in(aBody);
-    UpstreamReport out{ .mAddress = aAddress, .mSlots = 10 };
+    UpstreamReport out{ .mAddress = aNode.mHost + ":7500",
+                        .mSlots = aNode.mSlots };
     if (!(in >> out.mInstance >> out.mService >> out.mDraining >>
           out.mSequence)) {
       return Error{ Step::Decode, "test", "not a report" };
