Enforce the rate limit that an upstream names at the gate beside it

Cause: a limit that counts requests a second had no place in the gate, which counts running requests only. With 151 slots and runs of 0.25 s it was never full. The new log lines show it: limit_per_s=43.80 sent=79 to 92 at the node beside the upstream, in each second and before any restart, so neither requests that bypass the gate nor a lost limit are needed to explain it.

Change: RateLimiter, a token bucket in UpstreamLimiter, takes the limit from each answer that proves to come from the present run of the upstream. All requests of all nodes pass this gate, so the sum over the fleet needs no messages, at any number of nodes. CapacityPlan divides the rate among the priorities as it does the slots, so that entry nodes refuse or move what does not fit before any work is done.

--- a/libs/forwarding/include/forwarding/CapacityPlan.h
+++ b/libs/forwarding/include/forwarding/CapacityPlan.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "base/Time.h"
 #include "forwarding/TreeLoad.h"
@@ -26,6 +27,12 @@
    * takes no work. */
   void SetLimit(uint32_t aLimit) { mLimit = aLimit; }
 
+  /** @param aPerSecond maximum rate of requests; empty for none. */
+  void SetRateLimit(std::optional<double> aPerSecond)
+  {
+    mRateLimit = aPerSecond;
+  }
+
   /** Records the arrival of a request that needs a slot.
    * @param aShare admission share applied by its entry node. */
   void Arrived(TimePoint aNow, uint32_t aPriority, double aShare);
@@ -64,6 +71,14 @@
     TreeLoad mLoad;
   };
 
+  /** Something that requests need, by priority: slots, or a part of a rate. */
+  using Amounts = std::array<double, kPriorityClasses>;
+
+  /** Divides a capacity among the priorities.
+   * @param aWanted amount that each of them needs.
+   * @return the load of each; the failure ratio is not set. */
+  static std::array<TreeLoad, kPriorityClasses> Divide(const Amounts& aWanted,
+                                                       double aCapacity);
   void Advance(TimePoint aNow);
   void Update(double aSeconds);
   /** @return the ratio of the current run time to the mean run time, at least
@@ -73,6 +88,7 @@
   PriorityState& StateOf(uint32_t aPriority);
 
   uint32_t mLimit = 0;
+  std::optional<double> mRateLimit; ///< Requests per second.
   uint32_t mRunning = 0;
   std::array<PriorityState, kPriorityClasses> mStates;
   double mCapacityFactor = 1; ///< Correction by the queue waits.
--- a/libs/forwarding/include/forwarding/UpstreamLimiter.h
+++ b/libs/forwarding/include/forwarding/UpstreamLimiter.h
@@ -9,6 +9,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "forwarding/RateLimiter.h"
 
 namespace amaranthgap {
 
@@ -22,9 +23,10 @@
   Duration mLatencyTarget = seconds(1); ///< Desired response time.
 };
 
-/** Limits the concurrent requests of the upstream beside a node and queues the
- * excess. All requests to the upstream pass through it, so it counts running
- * requests itself instead of relying on reports. Requests that cannot start in
+/** Limits the concurrent requests of the upstream beside a node, and their rate
+ * while the upstream names a limit, and queues the excess. All requests to the
+ * upstream pass through it, so it counts them itself instead of relying on
+ * reports. Requests that cannot start in
  * time are refused at once.
  *
  * The queue is ordered by priority, which calls inherit from the request that
@@ -56,13 +58,18 @@
   /** Sets the number of slots; 0 while the upstream takes no work. */
   void SetSlots(uint32_t aSlots);
 
+  /** @return the rate limit that the upstream names. */
+  RateLimiter& Rate() { return mRate; }
+  [[nodiscard]] const RateLimiter& Rate() const { return mRate; }
+
   OfferResult Offer(TimePoint aNow, const SlotRequest& aRequest);
   /** Records the end of a running request.
    * @param aRun run time; zero if it is not representative. */
   void Finished(Duration aRun);
   /** Removes the first queued request and counts it as running.
-   * @return that request, or nothing if none is queued or no slot is free. */
-  std::optional<ExecutionId> StartNextQueued();
+   * @return that request, or nothing if none is queued, no slot is free or the
+   * rate limit is reached. */
+  std::optional<ExecutionId> StartNextQueued(TimePoint aNow);
   /** Removes a request from the queue.
    * @return whether it was queued. */
   bool Remove(ExecutionId aExecution);
@@ -75,11 +82,16 @@
   [[nodiscard]] static Duration MaxWait(const SlotRequest& aRequest);
 
   [[nodiscard]] uint32_t Limit() const { return mLimit; }
+  /** @return the number of requests that can run at once, which the rate limit
+   * may keep below Limit(). */
+  [[nodiscard]] uint32_t UsableSlots() const;
   [[nodiscard]] uint32_t Running() const { return mRunning; }
   [[nodiscard]] size_t Waiting() const { return mQueue.size(); }
-  /** @return the expected wait for a slot of a new request of the given
-   * priority and nesting. */
-  [[nodiscard]] Duration EstimateWait(uint32_t aPriority, bool aIsNested) const;
+  /** @return the expected wait before a new request of the given priority and
+   * nesting starts. */
+  [[nodiscard]] Duration EstimateWait(TimePoint aNow,
+                                      uint32_t aPriority,
+                                      bool aIsNested) const;
 
 private:
   struct Entry
@@ -92,10 +104,11 @@
   };
   using Queue = std::set<Entry>;
 
-  [[nodiscard]] Duration ExpectedWait(size_t aAhead) const;
+  [[nodiscard]] Duration ExpectedWait(TimePoint aNow, size_t aAhead) const;
   Queue::iterator Erase(Queue::iterator aPosition);
 
   Options mOptions;
+  RateLimiter mRate;
   uint32_t mLimit = 0;
   uint32_t mRunning = 0;
   double mMeanRunSeconds = 0.05; ///< Smoothed.
--- a/libs/forwarding/src/CapacityPlan.cpp
+++ b/libs/forwarding/src/CapacityPlan.cpp
@@ -142,6 +142,31 @@
     std::clamp(mCapacityFactor, kMinFactor, isOverloaded ? kMaxFactor : 1.0);
 }
 
+std::array<TreeLoad, CapacityPlan::kPriorityClasses>
+CapacityPlan::Divide(const Amounts& aWanted, double aCapacity)
+{
+  std::array<TreeLoad, kPriorityClasses> out;
+  Amounts reserved{}; // Part that each priority always gets.
+  double remaining = aCapacity;
+  for (size_t n = 0; n < kPriorityClasses; ++n) {
+    reserved[n] = std::min(
+      aWanted[n], std::max(kMinShare * aWanted[n], kReservedShare * aCapacity));
+    remaining -= reserved[n];
+  }
+  double demand = 0;
+  for (size_t n = 0; n < kPriorityClasses; ++n) {
+    const double granted =
+      std::min(aWanted[n], reserved[n] + std::max(0.0, remaining));
+    remaining -= granted - reserved[n];
+    if (granted < aWanted[n]) {
+      out[n].mShare = std::max(granted / aWanted[n], kMinShare);
+    }
+    demand += aWanted[n];
+    out[n].mDemand = aCapacity > 0 ? demand / aCapacity : 0;
+  }
+  return out;
+}
+
 void
 CapacityPlan::Update(double aSeconds)
 {
@@ -153,32 +178,28 @@
   smooth(mEndedRunRate, mEndedRunSeconds);
   AdjustCapacityFactor();
   const double slowdown = Slowdown();
-  const double capacity = mLimit * kTargetUtilisation * mCapacityFactor;
-  // Slots that each priority needs, and the part of them that it always gets.
-  std::array<double, kPriorityClasses> wanted{};
-  std::array<double, kPriorityClasses> reserved{};
-  double remaining = capacity;
+  Amounts rates{};
+  Amounts slots{};
   for (size_t n = 0; n < kPriorityClasses; ++n) {
     PriorityState& state = mStates[n];
     smooth(state.mRate, state.mArrivals);
     smooth(state.mAdmittedRate, state.mAdmitted);
-    wanted[n] = state.mRate * state.mRunSeconds * slowdown;
-    reserved[n] = std::min(
-      wanted[n], std::max(kMinShare * wanted[n], kReservedShare * capacity));
-    remaining -= reserved[n];
+    rates[n] = state.mRate;
+    slots[n] = state.mRate * state.mRunSeconds * slowdown;
+  }
+  auto loads = Divide(slots, mLimit * kTargetUtilisation * mCapacityFactor);
+  if (mRateLimit) {
+    const auto rateLoads = Divide(rates, *mRateLimit * mCapacityFactor);
+    for (size_t n = 0; n < kPriorityClasses; ++n) {
+      loads[n] = TreeLoad::MostRestrictive(loads[n], rateLoads[n]);
+    }
   }
-  double demand = 0;
   for (size_t n = 0; n < kPriorityClasses; ++n) {
     PriorityState& state = mStates[n];
-    const double granted =
-      std::min(wanted[n], reserved[n] + std::max(0.0, remaining));
-    remaining -= granted - reserved[n];
-    const double share =
-      granted < wanted[n] ? std::max(granted / wanted[n], kMinShare) : 1;
-    state.mLoad.mShare =
-      std::min(share, state.mLoad.mShare + kShareRisePerSecond * aSeconds);
-    demand += wanted[n];
-    state.mLoad.mDemand = capacity > 0 ? demand / capacity : 0;
+    state.mLoad = { .mShare = std::min(loads[n].mShare,
+                                       state.mLoad.mShare +
+                                         kShareRisePerSecond * aSeconds),
+                    .mDemand = loads[n].mDemand };
     state.mWaitSum = 0;
     state.mWaits = 0;
     if (mLimit == 0) {
--- a/libs/forwarding/src/UpstreamLimiter.cpp
+++ b/libs/forwarding/src/UpstreamLimiter.cpp
@@ -52,11 +52,24 @@
     aRequest.mLatencyTarget / divisor, kMinWait, kMaxWait);
 }
 
+uint32_t
+UpstreamLimiter::UsableSlots() const
+{
+  if (!mRate.PerSecond() || mLimit == 0) {
+    return mLimit;
+  }
+  const double slots = std::ceil(*mRate.PerSecond() * mMeanRunSeconds);
+  return uint32_t(std::clamp(slots, 1.0, double(mLimit)));
+}
+
 Duration
-UpstreamLimiter::ExpectedWait(size_t aAhead) const
+UpstreamLimiter::ExpectedWait(TimePoint aNow, size_t aAhead) const
 {
-  return FromSeconds(mMeanRunSeconds * double(aAhead + 1) /
-                     double(std::max(1U, mLimit)));
+  const Duration slotWait =
+    mRunning < mLimit ? Duration::zero()
+                      : FromSeconds(mMeanRunSeconds * double(aAhead + 1) /
+                                    double(std::max(1U, mLimit)));
+  return std::max(slotWait, mRate.WaitFor(aNow, aAhead));
 }
 
 UpstreamLimiter::OfferResult
@@ -66,7 +79,7 @@
   if (mLimit == 0 || aRequest.mDeadline <= aNow) {
     return out;
   }
-  if (mRunning < mLimit && mQueue.empty()) {
+  if (mRunning < mLimit && mQueue.empty() && mRate.TryTake(aNow)) {
     ++mRunning;
     out.mStarted = true;
     return out;
@@ -77,7 +90,7 @@
                .mSequence = mNextSequence++ };
   const auto position = mQueue.lower_bound(entry);
   const auto ahead = size_t(std::distance(mQueue.begin(), position));
-  if (aNow + ExpectedWait(ahead) > entry.mStartBy) {
+  if (aNow + ExpectedWait(aNow, ahead) > entry.mStartBy) {
     return out;
   }
   while (mQueue.size() >= mOptions.mQueueCapacity) {
@@ -104,9 +117,9 @@
 }
 
 std::optional<ExecutionId>
-UpstreamLimiter::StartNextQueued()
+UpstreamLimiter::StartNextQueued(TimePoint aNow)
 {
-  if (mRunning >= mLimit || mQueue.empty()) {
+  if (mRunning >= mLimit || mQueue.empty() || !mRate.TryTake(aNow)) {
     return std::nullopt;
   }
   const ExecutionId out = mQueue.begin()->mRequest.mExecution;
@@ -164,9 +177,11 @@
 }
 
 Duration
-UpstreamLimiter::EstimateWait(uint32_t aPriority, bool aIsNested) const
+UpstreamLimiter::EstimateWait(TimePoint aNow,
+                              uint32_t aPriority,
+                              bool aIsNested) const
 {
-  if (mRunning < mLimit || mLimit == 0) {
+  if (mLimit == 0) {
     return Duration::zero();
   }
   const std::pair rank{ aPriority, !aIsNested };
@@ -174,7 +189,7 @@
   for (const auto& [other, count] : mWaitingByRank) {
     ahead += other <= rank ? count : 0;
   }
-  return ExpectedWait(ahead);
+  return ExpectedWait(aNow, ahead);
 }
 
 } // namespace amaranthgap
--- a/libs/forwarding/tests/CapacityPlanTest.cpp
+++ b/libs/forwarding/tests/CapacityPlanTest.cpp
@@ -135,3 +135,18 @@
   }
   CHECK(plan.Load(now, 2).mShare < 0.3);
 }
+
+// Guards against work that is admitted and refused at the gate: the slots of an
+// upstream with a rate limit are mostly free.
+TEST_CASE("a rate limit divides the rate among the priorities")
+{
+  UpstreamSimulation simulation(1000);
+  simulation.Plan().SetRateLimit(100);
+  const double runSeconds = ToSeconds(kRunTime);
+  simulation.Simulate(
+    seconds(3), { 50 * runSeconds, 25 * runSeconds, 50 * runSeconds }, 1);
+  CHECK(simulation.Load(0).mShare == 1);
+  CHECK(simulation.Load(1).mShare == 1);
+  CHECK(simulation.Load(2).mShare == Approx(0.5).margin(0.1));
+  CHECK(simulation.Load(2).mDemand == Approx(1.25).margin(0.15));
+}
--- a/libs/forwarding/tests/FleetSimulation.cpp
+++ b/libs/forwarding/tests/FleetSimulation.cpp
@@ -93,8 +93,8 @@
     return { .mRunning = mGate.Running(),
              .mWaiting = uint32_t(mGate.Waiting()),
              .mLimit = mGate.Limit(),
-             .mWaitMs = uint32_t(ToMillis(
-               mGate.EstimateWait(aRequest.mPriority, aRequest.mIsNested))),
+             .mWaitMs = uint32_t(ToMillis(mGate.EstimateWait(
+               aNow, aRequest.mPriority, aRequest.mIsNested))),
              .mRunMs = uint32_t(record.mRunMillis),
              .mShare = uint32_t(tree.mShare * kShareScale),
              .mDemand = uint32_t(tree.mDemand * kShareScale),
@@ -482,7 +482,7 @@
 void
 FleetSimulation::StartNext(Node& aTarget)
 {
-  while (const auto next = aTarget.mGate.StartNextQueued()) {
+  while (const auto next = aTarget.mGate.StartNextQueued(mNow)) {
     Start(aTarget, *next);
   }
 }
--- a/libs/forwarding/tests/UpstreamLimiterTest.cpp
+++ b/libs/forwarding/tests/UpstreamLimiterTest.cpp
@@ -41,8 +41,8 @@
   CHECK(started == 4);
   CHECK(gate.Running() == 4);
   gate.Finished(milliseconds(10));
-  CHECK(gate.StartNextQueued());
-  CHECK_FALSE(gate.StartNextQueued());
+  CHECK(gate.StartNextQueued(kNow));
+  CHECK_FALSE(gate.StartNextQueued(kNow));
 }
 
 // Guards against priority inversion: calls of a less important request would
@@ -58,7 +58,7 @@
   std::vector<uint64_t> order;
   for (int n = 0; n < 5; ++n) {
     gate.Finished(milliseconds(10));
-    order.push_back(gate.StartNextQueued()->mValue);
+    order.push_back(gate.StartNextQueued(kNow)->mValue);
   }
   CHECK(order == std::vector<uint64_t>{ 5, 2, 4, 3, 1 });
 }
@@ -111,7 +111,7 @@
   gate.Offer(kNow, MakeRequest(1));
   gate.SetSlots(0);
   gate.Finished(milliseconds(10));
-  CHECK_FALSE(gate.StartNextQueued());
+  CHECK_FALSE(gate.StartNextQueued(kNow));
   CHECK(gate.RemoveAll().size() == 1);
   CHECK_FALSE(gate.Offer(kNow, MakeRequest(2)).mStarted);
 }
@@ -122,20 +122,20 @@
   UpstreamLimiter gate({ .mSlotShare = 1 });
   gate.SetSlots(4);
   gate.Offer(kNow, MakeRequest(1));
-  CHECK(gate.EstimateWait(1, false) == Duration::zero());
+  CHECK(gate.EstimateWait(kNow, 1, false) == Duration::zero());
   gate = FullGate(4);
-  const Duration next = gate.EstimateWait(0, false);
+  const Duration next = gate.EstimateWait(kNow, 0, false);
   CHECK(next > Duration::zero());
   for (uint64_t n = 1; n <= 6; ++n) {
     gate.Offer(kNow, MakeRequest(n, 2));
   }
-  CHECK(gate.EstimateWait(0, false) == next);
-  CHECK(gate.EstimateWait(1, true) == next);
-  CHECK(gate.EstimateWait(2, true) == next);
-  CHECK(gate.EstimateWait(2, false) > 6 * next);
+  CHECK(gate.EstimateWait(kNow, 0, false) == next);
+  CHECK(gate.EstimateWait(kNow, 1, true) == next);
+  CHECK(gate.EstimateWait(kNow, 2, true) == next);
+  CHECK(gate.EstimateWait(kNow, 2, false) > 6 * next);
   gate.Finished(milliseconds(10));
-  gate.StartNextQueued();
+  gate.StartNextQueued(kNow);
   gate.Remove({ 2 });
   gate.RemoveOverdue(kNow + seconds(1));
-  CHECK(gate.EstimateWait(2, false) <= next);
+  CHECK(gate.EstimateWait(kNow, 2, false) <= next);
 }
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -77,7 +77,7 @@
   /** @return the rate limit that the upstream names, in requests per second. */
   [[nodiscard]] std::optional<double> RateLimit() const
   {
-    return mNotice.mRequestsPerSecond;
+    return mGate.Rate().PerSecond();
   }
   /** Called when TakesWork() or the instance changes. */
   void OnChange(std::function<void()> aCallback)
@@ -105,8 +105,9 @@
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
   [[nodiscard]] static RunEnd EndOf(const ForwardReply& aReply);
-  /** Takes what an answer says of the upstream itself. */
-  void NoteAnswer(TimePoint aNow, const AnswerNotice& aNotice);
+  /** Takes what an answer says of the upstream itself.
+   * @param aHasRun whether the upstream ran the request. */
+  void NoteAnswer(TimePoint aNow, const AnswerNotice& aNotice, bool aHasRun);
   void Refuse(ExecutionId aExecution, AttemptReason aReason);
   void Finish(ExecutionId aExecution, ForwardReply aReply);
   void SetDown(const char* aReason);
@@ -129,6 +130,7 @@
   CapacityPlan mPlan;
   std::string mService;
   std::string mInstance;
+  int64_t mRunStartedMillis = 0; ///< Start of the upstream; 0 if unknown.
   bool mTakesWork = false;
   bool mIsDown = false; ///< Seen by its connections, until its next report.
   bool mStopped = false;
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -38,6 +38,7 @@
   TimePoint mDeadline;
   TimePoint mArrived{};
   TimePoint mStarted{};
+  int64_t mRunStartedMillis = 0; ///< Of the upstream that it was sent to.
   bool mIsRunning = false;
   bool mIsCancelled = false; ///< Goes on without anyone who waits for it.
   std::multimap<TimePoint, ExecutionId>::iterator mByDeadline;
@@ -61,7 +62,14 @@
   const bool changed = aReport.mInstance != mInstance ||
                        aReport.mService != mService ||
                        aTakesWork != TakesWork() || aReport.mSlots != mSlots;
+  if (aReport.mInstance != mInstance) {
+    // Under the same id, the limit holds until an answer tells.
+    mGate.Rate().Reset();
+    mPlan.SetRateLimit(std::nullopt);
+    mNotice = {};
+  }
   mInstance = aReport.mInstance;
+  mRunStartedMillis = aReport.mStartedMillis;
   mService = aReport.mService;
   mSlots = aReport.mSlots;
   mTakesWork = aTakesWork && !mStopped;
@@ -187,6 +195,7 @@
   const HeaderNames& names = mOptions.mHeaders;
   aAttempt.mIsRunning = true;
   aAttempt.mStarted = aNow;
+  aAttempt.mRunStartedMillis = mRunStartedMillis;
   mPlan.Started(aNow, aAttempt.mRequest.mPriority, aNow - aAttempt.mArrived);
   HttpRequest http = aAttempt.mRequest.mHttp;
   const auto left = ToMillis(aAttempt.mDeadline - aNow);
@@ -236,9 +245,12 @@
   const AnswerNotice notice = mOptions.mReadNotice(aResponse.mHttp.mHeaders);
   ForwardReply reply =
     JudgeResponse(mOptions.mHeaders, aEnd, std::move(aResponse));
-  if (reply.mOutcome == AttemptOutcome::Answered ||
-      reply.mReason == AttemptReason::UpstreamRefused) {
-    NoteAnswer(now, notice);
+  const bool hasRun = reply.mOutcome == AttemptOutcome::Answered;
+  const bool isOfCurrentRun = attempt.mRequest.mInstance == mInstance &&
+                              attempt.mRunStartedMillis == mRunStartedMillis;
+  if (isOfCurrentRun &&
+      (hasRun || reply.mReason == AttemptReason::UpstreamRefused)) {
+    NoteAnswer(now, notice, hasRun);
   }
   if (attempt.mConnection->IsReusable(now)) {
     mIdle.push_back(std::move(attempt.mConnection));
@@ -254,12 +266,19 @@
 }
 
 void
-UpstreamSide::NoteAnswer(TimePoint aNow, const AnswerNotice& aNotice)
+UpstreamSide::NoteAnswer(TimePoint aNow,
+                         const AnswerNotice& aNotice,
+                         bool aHasRun)
 {
-  if (aNotice.mRequestsPerSecond != mNotice.mRequestsPerSecond ||
-      aNotice.mIsLeaving != mNotice.mIsLeaving ||
+  const auto& named = aNotice.mRequestsPerSecond;
+  // A limit that cannot be read does not end the one in force, and refusals may
+  // leave it out.
+  const bool tellsRate = named || (aHasRun && aNotice.mUnusable.empty());
+  const bool changed = tellsRate && mGate.Rate().Answered(aNow, named);
+  mPlan.SetRateLimit(RateLimit());
+  if (changed || aNotice.mIsLeaving != mNotice.mIsLeaving ||
       aNotice.mUnusable != mNotice.mUnusable) {
-    const auto& rate = aNotice.mRequestsPerSecond;
+    const auto rate = RateLimit();
     mLogger.Write(aNow,
                   LogLevel::Info,
                   "upstream-notice",
@@ -288,7 +307,7 @@
 void
 UpstreamSide::StartNext(TimePoint aNow)
 {
-  while (const auto next = mGate.StartNextQueued()) {
+  while (const auto next = mGate.StartNextQueued(aNow)) {
     if (const auto it = mAttempts.find(*next); it != mAttempts.end()) {
       Start(aNow, *it->second);
     } else {
@@ -530,10 +549,10 @@
   const CallKind kind = KindOf(aRequest);
   const TreeLoad tree = LoadOf(aNow, kind);
   const Duration wait =
-    mGate.EstimateWait(aRequest.mPriority, aRequest.mIsNested);
+    mGate.EstimateWait(aNow, aRequest.mPriority, aRequest.mIsNested);
   return { .mRunning = mGate.Running(),
            .mWaiting = uint32_t(mGate.Waiting()),
-           .mLimit = mGate.Limit(),
+           .mLimit = mGate.UsableSlots(),
            .mWaitMs = uint32_t(ToMillis(wait)),
            .mRunMs = uint32_t(mKinds.Find(kind).mRunMillis),
            .mShare = uint32_t(tree.mShare * kThousandths),
