Take no more work for an upstream whose answers say that it leaves

Upstreams that leave say so in all their answers. The header was decoded nowhere: until a report or the end of the upstream came, which may be late or missing, its node went on sending requests, although callers had already been told (DRAIN).

An answer that proves to come from the present run of the upstream and says so now counts like the announcement of its end: HeartbeatTracker keeps it, so that no later report of that run puts the upstream into use again; what waits at the gate is refused as not run and goes elsewhere.

--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -79,6 +79,12 @@
   {
     return mGate.Rate().PerSecond();
   }
+  /** Called when an answer says that the upstream leaves. Takes the instance
+   * and the start of its run. */
+  void OnLeaving(std::function<void(const std::string&, int64_t)> aCallback)
+  {
+    mOnLeaving = std::move(aCallback);
+  }
   /** Called when TakesWork() or the instance changes. */
   void OnChange(std::function<void()> aCallback)
   {
@@ -148,6 +154,7 @@
   std::map<CallKind, SmoothedLoad> mLoadsBelow; ///< Of the calls they make.
   CallKindStats mKinds;
   std::set<CallKind> mFirstKinds; ///< Those that callers send, not upstreams.
+  std::function<void(const std::string&, int64_t)> mOnLeaving;
   std::function<void()> mOnChange;
 };
 
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -69,6 +69,12 @@
                 ForwardRequest aRequest,
                 std::function<void(ForwardReply)> aDone);
   void UpstreamChanged();
+  /** Takes no more work for a run of the upstream that leaves. */
+  void UpstreamLeaves(TimePoint aNow,
+                      const std::string& aInstance,
+                      int64_t aStartedMillis);
+  /** Takes over what is known of the upstream. */
+  void ApplyReport();
   [[nodiscard]] bool IsReady(TimePoint aNow) const;
 
   ProxySettings mSettings;
@@ -247,6 +253,10 @@
                         const char* aFrom) { TakeRoutes(aDocument, aFrom); },
       .mStateChanged = [this] { Announce(); } });
   mUpstream.OnChange([this] { UpstreamChanged(); });
+  mUpstream.OnLeaving(
+    [this](const std::string& aInstance, int64_t aStartedMillis) {
+      UpstreamLeaves(EventLoop::Now(), aInstance, aStartedMillis);
+    });
 }
 
 uint64_t
@@ -414,13 +424,29 @@
                   { { "instance", end.mInstance },
                     { "started", std::to_string(end.mStartedMillis) } });
   }
+  ApplyReport();
+  return { .mStatus = kOk,
+           .mHeaders = { { "Content-Type", "application/json" } },
+           .mBody = "{}" };
+}
+
+void
+ProxyProcess::Parts::ApplyReport()
+{
   if (const UpstreamReport* latest = mHeartbeats.Latest()) {
     mUpstream.SetReport(*latest, mHeartbeats.TakesWork());
     mForwarder.SetService(latest->mService);
   }
-  return { .mStatus = kOk,
-           .mHeaders = { { "Content-Type", "application/json" } },
-           .mBody = "{}" };
+}
+
+void
+ProxyProcess::Parts::UpstreamLeaves(TimePoint aNow,
+                                    const std::string& aInstance,
+                                    int64_t aStartedMillis)
+{
+  if (mHeartbeats.Ended(aNow, aInstance, aStartedMillis)) {
+    ApplyReport();
+  }
 }
 
 void
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -248,8 +248,10 @@
   const bool hasRun = reply.mOutcome == AttemptOutcome::Answered;
   const bool isOfCurrentRun = attempt.mRequest.mInstance == mInstance &&
                               attempt.mRunStartedMillis == mRunStartedMillis;
-  if (isOfCurrentRun &&
-      (hasRun || reply.mReason == AttemptReason::UpstreamRefused)) {
+  const bool tellsOfUpstream =
+    isOfCurrentRun &&
+    (hasRun || reply.mReason == AttemptReason::UpstreamRefused);
+  if (tellsOfUpstream) {
     NoteAnswer(now, notice, hasRun);
   }
   if (attempt.mConnection->IsReusable(now)) {
@@ -261,6 +263,9 @@
   } else if (reply.mReason == AttemptReason::OtherInstance) {
     SetDown("another instance answers");
   }
+  if (tellsOfUpstream && notice.mIsLeaving && mOnLeaving) {
+    mOnLeaving(mInstance, mRunStartedMillis);
+  }
   Finish(aExecution, std::move(reply));
   StartNext(now);
 }
