Return to a restarted node what its upstream told before

What upstreams saw: a node that restarts beside an upstream with a rate limit, or one that leaves, knew neither. Until the first answer it sent as much as the slots take (LIMIT: 80 requests at once where 35 in 4 s are allowed), and a report from before the upstream's leaving that arrived late put it into use again (DRAIN).

Class of fault: a fact that binds others lives only in the process that heard it.

Ruled out: an entry in the store (its writes grow with the answers, and it may be away), and asking the upstream (a health check waits for a slot, and is billed).

Change: the nodes that pass on such an answer are just those for which the limit counts, so they keep the notice (PeerNotices, by node, ten minutes) and return it in the first message of their next connection, ahead of any request. Replies and announcements carry a notice only while there is one: one byte otherwise. State and messages grow with the links of a node, not with the fleet. HeartbeatTracker keeps the ends of several instances, as peers may return those of earlier ones.

--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/EnumNames.h"
 #include "base/Time.h"
@@ -79,7 +80,7 @@
 
   std::string mAddress;
   std::optional<UpstreamReport> mLatest;
-  std::optional<EndedRun> mEndedRun; ///< The latest one.
+  std::vector<EndedRun> mEndedRuns; ///< Of other instances; the latest few.
   TimePoint mLastHeard{};
   bool mEnded = false;
 };
--- a/libs/forwarding/src/HeartbeatTracker.cpp
+++ b/libs/forwarding/src/HeartbeatTracker.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/HeartbeatTracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthgap {
@@ -10,6 +11,9 @@
 // later than this after the end belongs to a new run with the same identifier.
 constexpr Duration kLatestReport = seconds(30);
 
+// Peers may return the ends of several instances that were on this host.
+constexpr size_t kMaxEndedRunCount = 8;
+
 } // namespace
 
 HeartbeatTracker::HeartbeatTracker(std::string aAddress)
@@ -48,12 +52,15 @@
 bool
 HeartbeatTracker::HasEnded(TimePoint aNow, const UpstreamReport& aReport) const
 {
-  if (!mEndedRun || mEndedRun->mInstance != aReport.mInstance) {
-    return false;
-  }
-  return mEndedRun->mStartedMillis != 0
-           ? aReport.mStartedMillis <= mEndedRun->mStartedMillis
-           : aNow - mEndedRun->mTime < kLatestReport;
+  return std::any_of(
+    mEndedRuns.begin(), mEndedRuns.end(), [&](const EndedRun& aRun) {
+      if (aRun.mInstance != aReport.mInstance) {
+        return false;
+      }
+      return aRun.mStartedMillis != 0
+               ? aReport.mStartedMillis <= aRun.mStartedMillis
+               : aNow - aRun.mTime < kLatestReport;
+    });
 }
 
 bool
@@ -66,7 +73,10 @@
       return false; // It may be of an earlier run; a later one can reuse its
                     // id.
     }
-    mEndedRun = EndedRun{ aInstance, aStartedMillis, aNow };
+    if (mEndedRuns.size() >= kMaxEndedRunCount) {
+      mEndedRuns.erase(mEndedRuns.begin());
+    }
+    mEndedRuns.push_back({ aInstance, aStartedMillis, aNow });
     return false;
   }
   if (aStartedMillis != 0 && aStartedMillis < mLatest->mStartedMillis) {
--- a/libs/forwarding/tests/HeartbeatTrackerTest.cpp
+++ b/libs/forwarding/tests/HeartbeatTrackerTest.cpp
@@ -119,3 +119,15 @@
   CHECK(log.Ended(kNow, "a", 2000));
   CHECK_FALSE(log.TakesWork());
 }
+
+// Guards against an end that is forgotten for that of an earlier instance.
+TEST_CASE("the ends of several instances are kept")
+{
+  HeartbeatTracker log("10.0.0.1:80");
+  log.Ended(kNow, "b", 2000);
+  log.Ended(kNow, "a", 1000);
+  log.Offer(kNow + seconds(1), MakeReport("b", 2000, 9));
+  CHECK_FALSE(log.TakesWork());
+  log.Offer(kNow + seconds(1), MakeReport("b", 3000, 1));
+  CHECK(log.TakesWork());
+}
--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/Logger.h"
+#include "forwarding/PeerNotices.h"
 #include "net/EventLoop.h"
 #include "net/TcpStream.h"
 #include "wire/ForwardMessages.h"
@@ -93,6 +94,8 @@
   void Open(TimePoint aNow, Link& aLink);
   void Received(Link& aLink, std::string_view aData);
   void Handle(Link& aLink, LinkMessage aMessage);
+  /** Keeps what a reply tells of the upstream that it comes from. */
+  void NoteReply(const std::string& aNode, const ForwardReply& aReply);
   void Ended(const std::string& aNode, StreamEnd aEnd);
   /** Replaces a silent connection. */
   void GiveUp(Link& aLink);
@@ -108,6 +111,7 @@
   Logger& mLogger;
   Events mEvents;
   uint64_t mLastCall = 0;
+  PeerNotices mNotices;
   std::map<std::string, std::unique_ptr<Link>> mLinks;
   std::list<std::unique_ptr<SilentStream>> mSilent;
 };
--- a/libs/proxy/include/proxy/PeerServer.h
+++ b/libs/proxy/include/proxy/PeerServer.h
@@ -30,6 +30,8 @@
     /** Takes the address of a node that has connected.
      * @return the nodes to send to it, if any. */
     std::function<NodeList(const NodeAddress&)> mHello;
+    /** Takes what the upstream beside this node told a peer earlier. */
+    std::function<void(const NodeAddress&, const UpstreamNotice&)> mNotice;
   };
 
   PeerServer(EventLoop& aLoop, Logger& aLogger, Events aEvents);
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -41,7 +41,12 @@
 
   /** Takes over the newest report.
    * @param aTakesWork false once the upstream is leaving. */
-  void SetReport(const UpstreamReport& aReport, bool aTakesWork);
+  void SetReport(TimePoint aNow,
+                 const UpstreamReport& aReport,
+                 bool aTakesWork);
+  /** Takes the rate limit that another node was told before this one started.
+   * It holds until an answer tells; of several, the lowest. */
+  void ReturnNotice(TimePoint aNow, const UpstreamNotice& aNotice);
   /** Refuses new attempts from now on; those under way go on. */
   void StopWork();
 
@@ -69,6 +74,8 @@
   [[nodiscard]] uint32_t Limit() const { return mGate.Limit(); }
   [[nodiscard]] const std::string& Service() const { return mService; }
   [[nodiscard]] const std::string& Instance() const { return mInstance; }
+  /** @return what the upstream told that restricts its use, if anything. */
+  [[nodiscard]] std::optional<UpstreamNotice> Notice() const;
   [[nodiscard]] size_t InFlight() const { return mAttempts.size(); }
   /** @return the bytes of memory that incomplete responses take. */
   [[nodiscard]] size_t ResponseBytes() const;
@@ -110,6 +117,8 @@
   void Answered(ExecutionId aExecution,
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
+  /** Applies the returned notice if it is of the present instance. */
+  void ApplyReturnedNotice(TimePoint aNow);
   [[nodiscard]] static RunEnd EndOf(const ForwardReply& aReply);
   /** Takes what an answer says of the upstream itself.
    * @param aHasRun whether the upstream ran the request. */
@@ -138,11 +147,14 @@
   std::string mInstance;
   int64_t mRunStartedMillis = 0; ///< Start of the upstream; 0 if unknown.
   bool mTakesWork = false;
-  bool mIsDown = false; ///< Seen by its connections, until its next report.
+  bool mIsLeaving = false; ///< Announced by the upstream.
+  bool mIsDown = false;    ///< Seen by its connections, until its next report.
   bool mStopped = false;
   uint32_t mSlots = 0;
   TimePoint mOverloadLogged{};
-  AnswerNotice mNotice; ///< Of the latest answer.
+  AnswerNotice mNotice;      ///< Of the latest answer.
+  bool mHasAnswered = false; ///< Whether this instance has told by an answer.
+  std::optional<UpstreamNotice> mReturnedNotice;
   uint64_t mSentCount = 0;
   TimePoint mRateLogged{};
   uint64_t mSentAtRateLog = 0;
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -127,7 +127,8 @@
     aLink.mPeer.mAddress,
     { .mConnectTimeout = kConnectTimeout, .mUserTimeout = kUserTimeout },
     std::move(events));
-  aLink.mStream->Write(EncodeFrame(LinkHello{ mEvents.mSelf() }));
+  aLink.mStream->Write(
+    EncodeFrame(LinkHello{ mEvents.mSelf(), mNotices.Find(aNow, node) }));
 }
 
 void
@@ -177,9 +178,13 @@
                     "peer-connected",
                     { { "peer", state->mNode } });
     }
+    if (state->mNotice) {
+      mNotices.Record(EventLoop::Now(), state->mNode, *state->mNotice);
+    }
     aLink.mState = *state;
     mEvents.mState(*state);
   } else if (auto* reply = std::get_if<ForwardReply>(&aMessage)) {
+    NoteReply(aLink.mPeer.mNode, *reply);
     if (auto it = aLink.mPending.extract(reply->mCall)) {
       it.mapped().mDone(std::move(*reply));
     }
@@ -194,6 +199,16 @@
   }
 }
 
+void
+PeerLinks::NoteReply(const std::string& aNode, const ForwardReply& aReply)
+{
+  if (aReply.mNotice) {
+    mNotices.Record(EventLoop::Now(), aNode, *aReply.mNotice);
+  } else if (aReply.mOutcome == AttemptOutcome::Answered) {
+    mNotices.Clear(aNode);
+  }
+}
+
 void
 PeerLinks::FailPending(const PendingAttempts& aPending, AttemptOutcome aOutcome)
 {
@@ -323,6 +338,10 @@
     }
     // All other messages also arrive on the new connection.
     if (auto* reply = std::get_if<ForwardReply>(&*message.value())) {
+      // It may be older than what the new connection told.
+      if (reply->mNotice) {
+        mNotices.Record(EventLoop::Now(), aSilent.mNode, *reply->mNotice);
+      }
       if (auto it = aSilent.mPending.extract(reply->mCall)) {
         it.mapped().mDone(std::move(*reply));
       }
@@ -381,6 +400,7 @@
 void
 PeerLinks::Tick(TimePoint aNow)
 {
+  mNotices.Expire(aNow);
   std::vector<std::string> ended;
   for (auto it = mLinks.begin(); it != mLinks.end();) {
     Link& link = *it->second;
--- a/libs/proxy/src/PeerServer.cpp
+++ b/libs/proxy/src/PeerServer.cpp
@@ -90,6 +90,9 @@
       }
     } else if (const auto* hello = std::get_if<LinkHello>(&aMessage)) {
       mDataCentre = hello->mFrom.mDataCentre;
+      if (hello->mNotice) {
+        mServer.mEvents.mNotice(hello->mFrom, *hello->mNotice);
+      }
       if (const NodeList nodes = mServer.mEvents.mHello(hello->mFrom);
           !nodes.mNodes.empty()) {
         Send(nodes);
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -74,7 +74,11 @@
                       const std::string& aInstance,
                       int64_t aStartedMillis);
   /** Takes over what is known of the upstream. */
-  void ApplyReport();
+  void ApplyReport(TimePoint aNow);
+  /** Takes what the upstream told before this process started. */
+  void NoticeReturned(TimePoint aNow,
+                      const NodeAddress& aPeer,
+                      const UpstreamNotice& aNotice);
   [[nodiscard]] bool IsReady(TimePoint aNow) const;
 
   ProxySettings mSettings;
@@ -231,6 +235,10 @@
         .mHello =
           [this](const NodeAddress& aPeer) {
             return mDiscovery->PeerHello(EventLoop::Now(), aPeer);
+          },
+        .mNotice =
+          [this](const NodeAddress& aPeer, const UpstreamNotice& aNotice) {
+            NoticeReturned(EventLoop::Now(), aPeer, aNotice);
           } })
   , mTimer(mLoop)
   , mSlowTimer(mLoop)
@@ -286,7 +294,8 @@
            .mTakesWork = mUpstream.TakesWork(),
            .mRoutesVersion = mRoutes ? mRoutes->Version() : 0,
            .mReachesStore = mDiscovery->ReachesStore(),
-           .mWatchesStore = mDiscovery->IsWatching() };
+           .mWatchesStore = mDiscovery->IsWatching(),
+           .mNotice = mUpstream.Notice() };
 }
 
 void
@@ -424,17 +433,17 @@
                   { { "instance", end.mInstance },
                     { "started", std::to_string(end.mStartedMillis) } });
   }
-  ApplyReport();
+  ApplyReport(now);
   return { .mStatus = kOk,
            .mHeaders = { { "Content-Type", "application/json" } },
            .mBody = "{}" };
 }
 
 void
-ProxyProcess::Parts::ApplyReport()
+ProxyProcess::Parts::ApplyReport(TimePoint aNow)
 {
   if (const UpstreamReport* latest = mHeartbeats.Latest()) {
-    mUpstream.SetReport(*latest, mHeartbeats.TakesWork());
+    mUpstream.SetReport(aNow, *latest, mHeartbeats.TakesWork());
     mForwarder.SetService(latest->mService);
   }
 }
@@ -445,8 +454,27 @@
                                     int64_t aStartedMillis)
 {
   if (mHeartbeats.Ended(aNow, aInstance, aStartedMillis)) {
-    ApplyReport();
+    ApplyReport(aNow);
+  }
+}
+
+void
+ProxyProcess::Parts::NoticeReturned(TimePoint aNow,
+                                    const NodeAddress& aPeer,
+                                    const UpstreamNotice& aNotice)
+{
+  const auto& rate = aNotice.mRequestsPerSecond;
+  mLogger.Write(aNow,
+                LogLevel::Info,
+                "upstream-notice-returned",
+                { { "peer", aPeer.mNode },
+                  { "instance", aNotice.mInstance },
+                  { "limit_per_s", rate ? fmt::format("{:.2f}", *rate) : "" },
+                  { "leaving", aNotice.mIsLeaving ? "yes" : "no" } });
+  if (aNotice.mIsLeaving) {
+    UpstreamLeaves(aNow, aNotice.mInstance, aNotice.mStartedMillis);
   }
+  mUpstream.ReturnNotice(aNow, aNotice);
 }
 
 void
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -57,7 +57,9 @@
 UpstreamSide::~UpstreamSide() = default;
 
 void
-UpstreamSide::SetReport(const UpstreamReport& aReport, bool aTakesWork)
+UpstreamSide::SetReport(TimePoint aNow,
+                        const UpstreamReport& aReport,
+                        bool aTakesWork)
 {
   const bool changed = aReport.mInstance != mInstance ||
                        aReport.mService != mService ||
@@ -67,11 +69,14 @@
     mGate.Rate().Reset();
     mPlan.SetRateLimit(std::nullopt);
     mNotice = {};
+    mHasAnswered = false;
   }
   mInstance = aReport.mInstance;
   mRunStartedMillis = aReport.mStartedMillis;
   mService = aReport.mService;
   mSlots = aReport.mSlots;
+  mIsLeaving = !aTakesWork;
+  ApplyReturnedNotice(aNow);
   mTakesWork = aTakesWork && !mStopped;
   mIsDown = false;
   mGate.SetSlots(mTakesWork ? mSlots : 0);
@@ -86,6 +91,42 @@
   }
 }
 
+void
+UpstreamSide::ReturnNotice(TimePoint aNow, const UpstreamNotice& aNotice)
+{
+  const bool isKnown =
+    mReturnedNotice && mReturnedNotice->mInstance == aNotice.mInstance;
+  if (!aNotice.mRequestsPerSecond ||
+      (isKnown &&
+       *mReturnedNotice->mRequestsPerSecond <= *aNotice.mRequestsPerSecond)) {
+    return;
+  }
+  mReturnedNotice = aNotice;
+  ApplyReturnedNotice(aNow);
+}
+
+void
+UpstreamSide::ApplyReturnedNotice(TimePoint aNow)
+{
+  if (mReturnedNotice && mReturnedNotice->mInstance == mInstance &&
+      !mHasAnswered) {
+    mGate.Rate().Answered(aNow, mReturnedNotice->mRequestsPerSecond);
+    mPlan.SetRateLimit(RateLimit());
+  }
+}
+
+std::optional<UpstreamNotice>
+UpstreamSide::Notice() const
+{
+  if (mInstance.empty() || (!mIsLeaving && !RateLimit())) {
+    return std::nullopt;
+  }
+  return UpstreamNotice{ .mInstance = mInstance,
+                         .mStartedMillis = mRunStartedMillis,
+                         .mIsLeaving = mIsLeaving,
+                         .mRequestsPerSecond = RateLimit() };
+}
+
 void
 UpstreamSide::StopWork()
 {
@@ -279,6 +320,7 @@
   // A limit that cannot be read does not end the one in force, and refusals may
   // leave it out.
   const bool tellsRate = named || (aHasRun && aNotice.mUnusable.empty());
+  mHasAnswered |= tellsRate;
   const bool changed = tellsRate && mGate.Rate().Answered(aNow, named);
   mPlan.SetRateLimit(RateLimit());
   if (changed || aNotice.mIsLeaving != mNotice.mIsLeaving ||
@@ -363,6 +405,7 @@
     mPlan.Refused(now, attempt->mRequest.mPriority);
   }
   aReply.mLoad = Load(now, attempt->mRequest);
+  aReply.mNotice = Notice();
   if (!attempt->mIsCancelled) {
     attempt->mDone(std::move(aReply));
   }
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,6 +16,19 @@
 // Messages between the node that a request enters and the node beside the
 // target. Short field lists: their bytes between regions are billed.
 
+/** What an upstream told of itself, by answers or reports. The nodes that it is
+ * passed on to return it to the node beside the upstream when that restarts. */
+struct UpstreamNotice
+{
+  std::string mInstance;
+  int64_t mStartedMillis = 0; ///< Start of the run; 0 if unknown.
+  bool mIsLeaving = false;
+  /** Rate of requests that it takes from all nodes; no limit if empty. */
+  std::optional<double> mRequestsPerSecond;
+
+  MSGPACK_DEFINE(mInstance, mStartedMillis, mIsLeaving, mRequestsPerSecond)
+};
+
 /** What a node tells others of itself and of the upstream beside it. */
 struct NodeState
 {
@@ -31,6 +45,7 @@
   uint64_t mRoutesVersion = 0; ///< Version of the routes in force.
   bool mReachesStore = true;
   bool mWatchesStore = false; ///< Tells others what changes in the store.
+  std::optional<UpstreamNotice> mNotice; ///< Empty if there is none.
 
   MSGPACK_DEFINE(mNode,
                  mRun,
@@ -44,7 +59,8 @@
                  mTakesWork,
                  mRoutesVersion,
                  mReachesStore,
-                 mWatchesStore)
+                 mWatchesStore,
+                 mNotice)
 };
 
 /** Address and location of a node, as stored and as exchanged between nodes. */
@@ -61,12 +77,14 @@
 };
 
 /** First message on a connection, from the node that opened it, so that the
- * other one can connect back without reading the store. */
+ * other one can connect back without reading the store, and knows again what
+ * its upstream told before it restarted. */
 struct LinkHello
 {
   NodeAddress mFrom;
+  std::optional<UpstreamNotice> mNotice; ///< Of the receiver's upstream.
 
-  MSGPACK_DEFINE(mFrom)
+  MSGPACK_DEFINE(mFrom, mNotice)
 };
 
 /** Nodes that the sender knows. */
@@ -235,9 +253,10 @@
   AttemptOutcome mOutcome = AttemptOutcome::NotRun;
   AttemptReason mReason = AttemptReason::None;
   GateLoad mLoad;
-  HttpResponse mHttp; ///< Only when answered.
+  HttpResponse mHttp;                    ///< Only when answered.
+  std::optional<UpstreamNotice> mNotice; ///< Empty if there is none.
 
-  MSGPACK_DEFINE(mCall, mOutcome, mReason, mLoad, mHttp)
+  MSGPACK_DEFINE(mCall, mOutcome, mReason, mLoad, mHttp, mNotice)
 };
 
 struct ForwardCancel
