Tell in logs and metrics what is read from the store, and that it was restored

The logs had neither the revisions of what lists and watches returned, nor the era of the store, nor that routes were read and not taken.

No decision is changed.

--- a/libs/platform/include/platform/LeasedStore.h
+++ b/libs/platform/include/platform/LeasedStore.h
@@ -48,6 +48,7 @@
   StoreStatus mStatus = StoreStatus::Unclear;
   std::vector<StoreChange> mChanges;
   uint64_t mRevision = 0; ///< Where a watch goes on.
+  uint64_t mEra = 0;      ///< Of the answer; see LeasedStore.
   std::string mDetail;    ///< Why it failed.
 };
 
@@ -57,12 +58,18 @@
   StoreStatus mStatus = StoreStatus::Unclear;
   uint64_t mLease = 0; ///< GrantLease only.
   Duration mTtl{};     ///< GrantLease only: the life that applies.
+  uint64_t mEra = 0;   ///< Of the answer; see LeasedStore.
   std::string mDetail; ///< Why it failed.
 };
 
 /** The platform's store with leases and watches. Each call ends in exactly one
  * callback, never from within the call itself, unless the store object is
- * destroyed before. Belongs to one event loop. */
+ * destroyed before. Belongs to one event loop.
+ *
+ * The era of the store rises each time it comes back from an older copy. What
+ * was written after that copy is then gone, and revisions and leases are given
+ * out again, so both can be compared within an era only. It is 0 without an
+ * answer, and at a store that does not tell it. */
 class LeasedStore
 {
 public:
--- a/libs/proxy/include/proxy/Discovery.h
+++ b/libs/proxy/include/proxy/Discovery.h
@@ -67,6 +67,8 @@
   [[nodiscard]] bool IsListed() const { return mListedAt.has_value(); }
   [[nodiscard]] bool IsWatching() const { return mFollower.IsWatching(); }
   [[nodiscard]] bool ReachesStore() const { return mFollower.ReachesStore(); }
+  /** @return the era of the store; 0 if unknown. */
+  [[nodiscard]] uint64_t StoreEra() const { return mFollower.Era(); }
   [[nodiscard]] size_t KnownNodes() const { return mDirectory.Size(); }
 
 private:
--- a/libs/proxy/include/proxy/ProxyMetrics.h
+++ b/libs/proxy/include/proxy/ProxyMetrics.h
@@ -23,6 +23,7 @@
   uint64_t mKnownNodes = 0;
   bool mWatchesStore = false;
   bool mReachesStore = true;
+  uint64_t mStoreEra = 0; ///< 0 if unknown.
   uint64_t mRoutesVersion = 0;
 };
 
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -60,13 +60,21 @@
 
   [[nodiscard]] bool IsWatching() const { return mIsWatching; }
   [[nodiscard]] bool ReachesStore() const { return mReachesStore; }
+  /** @return the era of the store; 0 if unknown. */
+  [[nodiscard]] uint64_t Era() const { return mEra; }
 
 private:
   void WatchRoutes(TimePoint aNow);
+  /** @param aTaken changes that were not known yet. */
+  void LogRoutesRead(TimePoint aNow,
+                     const WatcherCall& aCall,
+                     const StoreChanges& aResult,
+                     size_t aTaken);
   void ListNodes(TimePoint aNow);
   void NodesListed(TimePoint aNow, const StoreChanges& aResult);
   void Register(TimePoint aNow);
-  void NoteCall(const std::string& aDetail);
+  /** Notes an answer of the store, or that there was none. */
+  void NoteCall(TimePoint aNow, const std::string& aDetail, uint64_t aEra);
   void UpdateReach(TimePoint aNow);
   [[nodiscard]] bool IsFailing() const;
   [[nodiscard]] std::string OwnKey() const;
@@ -86,6 +94,7 @@
   bool mReachesStore = true;
   std::optional<TimePoint> mFailingSince;
   std::string mLatestDetail; ///< Of the latest call.
+  uint64_t mEra = 0;         ///< Highest of the store's answers.
   uint64_t mLapseCount = 0;  ///< Of the registration, when last looked at.
   TimePoint mNextList = TimePoint::max();
 };
--- a/libs/proxy/src/ProxyMetrics.cpp
+++ b/libs/proxy/src/ProxyMetrics.cpp
@@ -37,6 +37,7 @@
   add("nodes_known", "gauge", aMetrics.mKnownNodes);
   add("store_watching", "gauge", aMetrics.mWatchesStore ? 1 : 0);
   add("store_reached", "gauge", aMetrics.mReachesStore ? 1 : 0);
+  add("store_era", "gauge", aMetrics.mStoreEra);
   add("routes_version", "gauge", aMetrics.mRoutesVersion);
   return out;
 }
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -58,6 +58,10 @@
   void SlowTick(TimePoint aNow);
   void StartShutdown(TimePoint aNow);
   void TakeRoutes(const std::string& aDocument, const char* aFrom);
+  /** Logs routes that are not taken. */
+  void LogOldRoutes(const RouteTable& aTable,
+                    const std::string& aDocument,
+                    const char* aFrom);
   void PeerState(TimePoint aNow, const NodeState& aState);
   void Announce();
   HttpResponse AnswerReady(const HttpRequest& aRequest) const;
@@ -324,6 +328,23 @@
   mPeerServer.Announce();
 }
 
+void
+ProxyProcess::Parts::LogOldRoutes(const RouteTable& aTable,
+                                  const std::string& aDocument,
+                                  const char* aFrom)
+{
+  const bool isSameVersion = aTable.Version() == mRoutes->Version();
+  if (isSameVersion && aDocument == mRoutesDocument) {
+    return;
+  }
+  mLogger.Write(EventLoop::Now(),
+                LogLevel::Warning,
+                isSameVersion ? "routes-conflict" : "routes-older",
+                { { "version", fmt::format("{:08x}", aTable.Version()) },
+                  { "in_force", fmt::format("{:08x}", mRoutes->Version()) },
+                  { "from", aFrom } });
+}
+
 void
 ProxyProcess::Parts::TakeRoutes(const std::string& aDocument, const char* aFrom)
 {
@@ -338,6 +359,7 @@
   }
   const RouteTablePtr table = routes.value();
   if (mRoutes && table->Version() <= mRoutes->Version()) {
+    LogOldRoutes(*table, aDocument, aFrom);
     return;
   }
   mLogger.Write(
@@ -398,6 +420,7 @@
                          .mKnownNodes = mDiscovery->KnownNodes(),
                          .mWatchesStore = mDiscovery->IsWatching(),
                          .mReachesStore = mDiscovery->ReachesStore(),
+                         .mStoreEra = mDiscovery->StoreEra(),
                          .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 });
 }
 
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -130,11 +130,11 @@
   if (!call) {
     return;
   }
-  const auto done = [this,
-                     number = call->mNumber](const StoreChanges& aResult) {
+  const auto done = [this, call = *call](const StoreChanges& aResult) {
     const TimePoint now = EventLoop::Now();
-    const auto changes = mRoutes.Done(now, number, aResult);
-    NoteCall(aResult.mDetail);
+    const auto changes = mRoutes.Done(now, call.mNumber, aResult);
+    LogRoutesRead(now, call, aResult, changes.size());
+    NoteCall(now, aResult.mDetail, aResult.mEra);
     for (const StoreChange& it : changes) {
       if (it.mValue && it.mKey == mOptions.mRoutesKey) {
         mEvents.mRoutes(*it.mValue);
@@ -149,6 +149,27 @@
   }
 }
 
+void
+StoreFollower::LogRoutesRead(TimePoint aNow,
+                             const WatcherCall& aCall,
+                             const StoreChanges& aResult,
+                             size_t aTaken)
+{
+  if (aResult.mChanges.empty()) {
+    return;
+  }
+  mLogger.Write(
+    aNow,
+    LogLevel::Info,
+    "routes-read",
+    { { "call", aCall.mIsList ? "list" : "watch" },
+      { "after", std::to_string(aCall.mAfter) },
+      { "revision", std::to_string(aResult.mChanges.back().mRevision) },
+      { "at", std::to_string(aResult.mRevision) },
+      { "era", std::to_string(aResult.mEra) },
+      { "taken", std::to_string(aTaken) } });
+}
+
 // A node lists its region once its own entry is written: of two nodes that
 // start at once, at least one finds the other and connects to it.
 void
@@ -174,7 +195,7 @@
       mListPacer.Failed(now);
       mIsListDue = true;
     }
-    NoteCall(aResult.mDetail);
+    NoteCall(now, aResult.mDetail, aResult.mEra);
     Tick(now);
   });
 }
@@ -213,7 +234,7 @@
   const auto done = [this, call = *call](const StoreResult& aResult) {
     const TimePoint now = EventLoop::Now();
     mRegistration.Done(now, aResult);
-    NoteCall(aResult.mDetail);
+    NoteCall(now, aResult.mDetail, aResult.mEra);
     const bool isDone = aResult.mStatus == StoreStatus::Done;
     if (isDone && call == RegistrationCall::Put) {
       mIsListDue |= std::exchange(mListsAfterPut, false);
@@ -251,9 +272,22 @@
 }
 
 void
-StoreFollower::NoteCall(const std::string& aDetail)
+StoreFollower::NoteCall(TimePoint aNow,
+                        const std::string& aDetail,
+                        uint64_t aEra)
 {
   mLatestDetail = aDetail;
+  if (aEra <= mEra) {
+    return;
+  }
+  if (mEra != 0) {
+    mLogger.Write(
+      aNow,
+      LogLevel::Warning,
+      "store-restored",
+      { { "era", std::to_string(aEra) }, { "before", std::to_string(mEra) } });
+  }
+  mEra = aEra;
 }
 
 void
