Add failing tests for a store that comes back from a copy

They restore the store in one process, with revisions and leases given out again. Changes that follow are missed, by lists that compare revisions and by watches that the store has lost; entries do not come back while the store renews a lease that it has given out again.

--- a/libs/discovery/tests/DiscoveryTest.cpp
+++ b/libs/discovery/tests/DiscoveryTest.cpp
@@ -186,3 +186,32 @@
   CHECK(registration.LapseCount() == 1);
   CHECK(registration.Next(later) == RegistrationCall::GrantLease);
 }
+
+// Guards against keys that are missed after a restore of the store, in which
+// revisions are given out again.
+TEST_CASE("keys of a restored store are reported whatever their revision")
+{
+  PrefixWatcher watcher({});
+  const auto done = [&](StoreChanges aResult) {
+    const auto call = watcher.Next(kNow);
+    REQUIRE(call);
+    return watcher.Done(kNow, call->mNumber, aResult);
+  };
+  const auto inEra = [](uint64_t aEra, StoreChanges aResult) {
+    aResult.mEra = aEra;
+    return aResult;
+  };
+  done(inEra(1, Done({ MakeChange("a", 8), MakeChange("b", 9) }, 9)));
+  done({ .mStatus = StoreStatus::Compacted, .mEra = 2 });
+  const auto changes = done(inEra(2, Done({ MakeChange("a", 8) }, 8)));
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].mKey == "a");
+  CHECK(changes[0].mValue);
+  CHECK(changes[1].mKey == "b");
+  CHECK_FALSE(changes[1].mValue);
+  // A watch from a revision of the earlier era tells only a part.
+  done(inEra(3, Done({ MakeChange("b", 12) }, 12)));
+  const auto call = watcher.Next(kNow);
+  REQUIRE(call);
+  CHECK(call->mIsList);
+}
--- a/libs/proxy/tests/MemoryStore.h
+++ b/libs/proxy/tests/MemoryStore.h
@@ -15,22 +15,58 @@
   {
     std::string mValue;
     uint64_t mRevision = 0;
+    uint64_t mLease = 0;
   };
 
-  std::map<std::string, Item> mItems;
-  std::vector<StoreChange> mHistory;
-  uint64_t mRevision = 1;
-  uint64_t mLastLease = 0;
-  uint64_t mEndedLeases = 0; ///< Leases up to this one have ended.
+  /** What a copy of the store holds. */
+  struct Content
+  {
+    std::map<std::string, Item> mItems;
+    std::vector<StoreChange> mHistory;
+    uint64_t mRevision = 1;
+    uint64_t mLastLease = 0;
+    uint64_t mEndedLeases = 0; ///< Leases up to this one have ended.
+  };
+
+  /** What becomes of the watches when the store is restored. */
+  enum class WaitingWatches : uint8_t
+  {
+    Refused,
+    Lost, ///< They get no answer.
+  };
+
+  Content mContent;
+  uint64_t mEra = 1;
   uint64_t mCalls = 0;
   std::vector<std::function<void()>> mWaiting; ///< Watches, to be looked at.
+  bool mRefusesWatches = false;
+
+  /** Goes back to a copy; revisions and leases are given out again. */
+  void Restore(const Content& aCopy, WaitingWatches aWatches)
+  {
+    mContent = aCopy;
+    ++mEra;
+    const auto waiting = std::exchange(mWaiting, {});
+    if (aWatches == WaitingWatches::Refused) {
+      mRefusesWatches = true;
+      for (const auto& look : waiting) {
+        look();
+      }
+      mRefusesWatches = false;
+    }
+  }
+
+  [[nodiscard]] bool IsLive(uint64_t aLease) const
+  {
+    return aLease > mContent.mEndedLeases && aLease <= mContent.mLastLease;
+  }
 
   /** Ends all leases, as in an outage that lasts too long for them. */
   void EndLeases(const std::string& aPrefix)
   {
-    mEndedLeases = mLastLease;
+    mContent.mEndedLeases = mContent.mLastLease;
     std::vector<std::string> keys;
-    for (const auto& [key, item] : mItems) {
+    for (const auto& [key, item] : mContent.mItems) {
       if (key.starts_with(aPrefix)) {
         keys.push_back(key);
       }
@@ -43,21 +79,24 @@
   [[nodiscard]] size_t CountOf(const std::string& aPrefix) const
   {
     size_t out = 0;
-    for (const auto& [key, item] : mItems) {
+    for (const auto& [key, item] : mContent.mItems) {
       out += key.starts_with(aPrefix) ? 1 : 0;
     }
     return out;
   }
 
-  void Write(const std::string& aKey, std::optional<std::string> aValue)
+  void Write(const std::string& aKey,
+             std::optional<std::string> aValue,
+             uint64_t aLease = 0)
   {
-    ++mRevision;
+    ++mContent.mRevision;
     if (aValue) {
-      mItems[aKey] = { *aValue, mRevision };
+      mContent.mItems[aKey] = { *aValue, mContent.mRevision, aLease };
     } else {
-      mItems.erase(aKey);
+      mContent.mItems.erase(aKey);
     }
-    mHistory.push_back({ aKey, std::move(aValue), mRevision });
+    mContent.mHistory.push_back(
+      { aKey, std::move(aValue), mContent.mRevision });
     for (const auto& look : std::exchange(mWaiting, {})) {
       look();
     }
@@ -81,8 +120,10 @@
     Later([this, aPrefix, aDone] {
       StoreChanges out{ .mStatus = StoreStatus::Refused };
       if (!mIsDown) {
-        out = { .mStatus = StoreStatus::Done, .mRevision = mData.mRevision };
-        for (const auto& [key, item] : mData.mItems) {
+        out = { .mStatus = StoreStatus::Done,
+                .mRevision = mData.mContent.mRevision,
+                .mEra = mData.mEra };
+        for (const auto& [key, item] : mData.mContent.mItems) {
           if (key.starts_with(aPrefix)) {
             out.mChanges.push_back({ key, item.mValue, item.mRevision });
           }
@@ -105,10 +146,15 @@
 
   void Put(const std::string& aKey,
            const std::string& aValue,
-           uint64_t,
+           uint64_t aLease,
            ResultCallback aDone) override
   {
-    Answer(aDone, [this, aKey, aValue] { mData.Write(aKey, aValue); });
+    if (!mData.IsLive(aLease) && !mIsDown) {
+      AnswerNoLease(aDone);
+      return;
+    }
+    Answer(aDone,
+           [this, aKey, aValue, aLease] { mData.Write(aKey, aValue, aLease); });
   }
 
   void Remove(const std::string& aKey, ResultCallback aDone) override
@@ -118,17 +164,16 @@
 
   void GrantLease(Duration, ResultCallback aDone) override
   {
-    Answer(aDone, [] {});
+    Answer(aDone, [this] { ++mData.mContent.mLastLease; });
   }
 
   void KeepLease(uint64_t aLease, ResultCallback aDone) override
   {
-    if (aLease > mData.mEndedLeases || mIsDown) {
+    if (mData.IsLive(aLease) || mIsDown) {
       Answer(aDone, [] {});
-      return;
+    } else {
+      AnswerNoLease(aDone);
     }
-    ++mData.mCalls;
-    Later([aDone] { aDone({ .mStatus = StoreStatus::NoLease }); });
   }
 
 private:
@@ -152,22 +197,37 @@
             const ChangesCallback& aDone)
   {
     StoreChanges out{ .mStatus = StoreStatus::Refused };
-    if (!mIsDown) {
-      out = { .mStatus = StoreStatus::Done, .mRevision = mData.mRevision };
-      for (const StoreChange& it : mData.mHistory) {
-        if (it.mRevision > aAfter && it.mKey.starts_with(aPrefix)) {
-          out.mChanges.push_back(it);
-        }
-      }
-      if (out.mChanges.empty()) {
-        mData.mWaiting.push_back(
-          WhileAlive([this, aPrefix, aAfter, aWait, aDone] {
-            Look(aPrefix, aAfter, aWait, aDone);
-          }));
-        return;
+    if (mIsDown || mData.mRefusesWatches) {
+      aDone(std::move(out));
+      return;
+    }
+    if (aAfter > mData.mContent.mRevision) {
+      aDone({ .mStatus = StoreStatus::Compacted, .mEra = mData.mEra });
+      return;
+    }
+    out = { .mStatus = StoreStatus::Done,
+            .mRevision = mData.mContent.mRevision,
+            .mEra = mData.mEra };
+    for (const StoreChange& it : mData.mContent.mHistory) {
+      if (it.mRevision > aAfter && it.mKey.starts_with(aPrefix)) {
+        out.mChanges.push_back(it);
       }
     }
-    aDone(std::move(out));
+    if (!out.mChanges.empty()) {
+      aDone(std::move(out));
+      return;
+    }
+    mData.mWaiting.push_back(WhileAlive([this, aPrefix, aAfter, aWait, aDone] {
+      Look(aPrefix, aAfter, aWait, aDone);
+    }));
+  }
+
+  void AnswerNoLease(const ResultCallback& aDone)
+  {
+    ++mData.mCalls;
+    Later([this, aDone] {
+      aDone({ .mStatus = StoreStatus::NoLease, .mEra = mData.mEra });
+    });
   }
 
   void Answer(const ResultCallback& aDone, const std::function<void()>& aEffect)
@@ -179,7 +239,9 @@
         return;
       }
       aEffect();
-      aDone({ .mStatus = StoreStatus::Done, .mLease = ++mData.mLastLease });
+      aDone({ .mStatus = StoreStatus::Done,
+              .mLease = mData.mContent.mLastLease,
+              .mEra = mData.mEra });
     });
   }
 
--- a/libs/proxy/tests/StoreWatchTest.cpp
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -179,3 +179,42 @@
   CHECK(fleet.Until([&] { return fleet.AllHaveRoutes(5); }));
   CHECK(fleet.CallAndWait(node, "GET", "/logs/1", "id-1").mStatus == 200);
 }
+
+// Guards against revisions that are compared across a restore: the change had a
+// revision at which the routes were known already.
+TEST_CASE("a change written to a restored store is in force in time")
+{
+  using Watches = MemoryStoreData::WaitingWatches;
+  const auto watches = GENERATE(Watches::Refused, Watches::Lost);
+  const int changesBefore = GENERATE(1, 2, 6);
+  INFO("changes before the restore " << changesBefore);
+  WatchedFleet fleet;
+  const auto copy = fleet.Store().mContent;
+  int version = 6;
+  for (int n = 0; n < changesBefore; ++n) {
+    fleet.TimeToForce(++version);
+  }
+  fleet.Store().Restore(copy, watches);
+  // The operator writes again what was lost, in one piece.
+  fleet.Store().Write("routes",
+                      std::to_string(version) + " /logs/ logs MANY 1000");
+  CHECK(fleet.TimeToForce(version + 1) < kRoutesBound);
+  CHECK(fleet.TimeToForce(version + 2) < kRoutesBound);
+}
+
+// Guards against entries that stay away: the store renews a lease that it has
+// given out again to another holder.
+TEST_CASE("entries that a restored store has lost are back in time")
+{
+  const bool isLeaseReused = GENERATE(false, true);
+  INFO("leases given out again " << isLeaseReused);
+  WatchedFleet fleet;
+  MemoryStoreData::Content copy = fleet.Store().mContent;
+  std::erase_if(copy.mItems, [](const auto& aItem) {
+    return aItem.first.starts_with(kEntries);
+  });
+  copy.mLastLease = isLeaseReused ? copy.mLastLease : 0;
+  fleet.Store().Restore(copy, MemoryStoreData::WaitingWatches::Refused);
+  CHECK(fleet.Store().CountOf(kEntries) == 0);
+  CHECK(fleet.TimeToEntries() < kEntriesBound);
+}
