List the routes again when the store has come back from a copy

Cause: PrefixWatcher compares revisions of before and after a restore, which gives them out again. A watch from a revision that the store has again loses changes the same way. Ruled out: routes that are read and refused (no routes-older line).

Class of fault: an order that holds within one life of a store is used across two.

Change: each answer of the store carries its era. PrefixWatcher compares revisions within one era only: a list in a new era is taken whole, an answer from before a restore is not used, and a watch that ends in another era, or is under way when any answer tells of one, is replaced by a list. Versions of the routes still never go back.

--- a/libs/discovery/include/discovery/PrefixWatcher.h
+++ b/libs/discovery/include/discovery/PrefixWatcher.h
@@ -20,8 +20,9 @@
 };
 
 /** Keeps track of the keys under one prefix of the store: lists them once, then
- * watches for changes, and lists again if the store has compacted the history.
- * Only decides which calls to make; its owner makes them. Not thread-safe. */
+ * watches for changes, and lists again if the store has compacted the history
+ * or was restored. Only decides which calls to make; its owner makes them. Not
+ * thread-safe. */
 class PrefixWatcher
 {
 public:
@@ -45,6 +46,10 @@
    * without closing its connection. */
   void ReplaceWatch(TimePoint aNow);
 
+  /** Lists the keys again if the era is new: revisions of an earlier one tell
+   * nothing in it. */
+  void EraSeen(TimePoint aNow, uint64_t aEra);
+
   /** @return whether the keys have been listed at least once. */
   [[nodiscard]] bool IsListed() const { return mIsListed; }
   [[nodiscard]] bool IsFailing() const { return mPacer.IsFailing(); }
@@ -60,6 +65,9 @@
   bool mIsListCall = false;
   bool mIsInFlight = false;
   uint64_t mNumber = 0; ///< Of the latest call.
+  uint64_t mEra = 0;    ///< Highest that was seen.
+  // Of the era mListedEra.
+  uint64_t mListedEra = 0;
   uint64_t mRevision = 0;
   std::map<std::string, uint64_t> mRevisions; ///< Revision by key.
 };
--- a/libs/discovery/src/PrefixWatcher.cpp
+++ b/libs/discovery/src/PrefixWatcher.cpp
@@ -35,6 +35,16 @@
   }
 }
 
+void
+PrefixWatcher::EraSeen(TimePoint aNow, uint64_t aEra)
+{
+  if (aEra > mEra) {
+    mEra = aEra;
+    mNeedsList = mNeedsList || mEra != mListedEra;
+    ReplaceWatch(aNow);
+  }
+}
+
 std::vector<StoreChange>
 PrefixWatcher::Done(TimePoint aNow,
                     uint64_t aNumber,
@@ -49,10 +59,17 @@
     mPacer.Succeeded(aNow);
     return {};
   }
-  if (aResult.mStatus != StoreStatus::Done) {
+  const bool isOutdated = aResult.mEra < mEra; // From before a restore.
+  if (aResult.mStatus != StoreStatus::Done || isOutdated) {
     mPacer.Failed(aNow);
     return {};
   }
+  mEra = aResult.mEra;
+  if (!mIsListCall && mEra != mListedEra) {
+    mNeedsList = true;
+    mPacer.Succeeded(aNow);
+    return {};
+  }
   mPacer.Succeeded(aNow,
                    mIsListCall || aResult.mChanges.empty()
                      ? Duration::zero()
@@ -65,10 +82,12 @@
 {
   std::vector<StoreChange> out;
   std::map<std::string, uint64_t> listed;
+  const bool isNewEra = aResult.mEra != mListedEra;
   for (const StoreChange& it : aResult.mChanges) {
     listed[it.mKey] = it.mRevision;
     const auto recorded = mRevisions.find(it.mKey);
-    if (recorded == mRevisions.end() || recorded->second < it.mRevision) {
+    if (isNewEra || recorded == mRevisions.end() ||
+        recorded->second < it.mRevision) {
       out.push_back(it);
     }
   }
@@ -79,6 +98,7 @@
   }
   mRevisions = std::move(listed);
   mRevision = aResult.mRevision;
+  mListedEra = aResult.mEra;
   mNeedsList = false;
   mIsListed = true;
   return out;
--- a/libs/proxy/include/proxy/Discovery.h
+++ b/libs/proxy/include/proxy/Discovery.h
@@ -72,6 +72,9 @@
   [[nodiscard]] size_t KnownNodes() const { return mDirectory.Size(); }
 
 private:
+  /** Tells other nodes what is known of the store.
+   * @param aIsRegained whether their entries may have ended. */
+  void Notify(bool aIsRegained);
   void NodesListed(TimePoint aNow, const std::vector<NodeAddress>& aNodes);
   void UpdateLinks(TimePoint aNow);
   void UpdateWatching(TimePoint aNow);
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -39,6 +39,8 @@
     /** Other nodes may have lost their entries: the store can be reached again,
      * or this node watches and its own lease has ended. */
     std::function<void()> mRegained;
+    /** This node watches, and has found that the store was restored. */
+    std::function<void()> mRestored;
   };
 
   StoreFollower(Logger& aLogger,
@@ -55,6 +57,8 @@
   /** Checks the own lease soon, because another node has reached the store
    * again after an outage. */
   void CheckEntry(TimePoint aNow);
+  /** Takes the era of the store that another node has seen. */
+  void EraTold(TimePoint aNow, uint64_t aEra);
   /** Removes the entry of this node. */
   void Leave();
 
@@ -75,6 +79,8 @@
   void Register(TimePoint aNow);
   /** Notes an answer of the store, or that there was none. */
   void NoteCall(TimePoint aNow, const std::string& aDetail, uint64_t aEra);
+  /** @return whether the store was restored since its era was seen last. */
+  bool EraSeen(TimePoint aNow, uint64_t aEra);
   void UpdateReach(TimePoint aNow);
   [[nodiscard]] bool IsFailing() const;
   [[nodiscard]] std::string OwnKey() const;
--- a/libs/proxy/src/Discovery.cpp
+++ b/libs/proxy/src/Discovery.cpp
@@ -43,11 +43,8 @@
                     mEvents.mRoutes(aDocument, "store");
                   },
                 .mReachChanged = [this] { mEvents.mStateChanged(); },
-                .mRegained =
-                  [this] {
-                    mServer.Notify({ .mRoutesVersion = mRoutesVersion,
-                                     .mIsRegained = true });
-                  } })
+                .mRegained = [this] { Notify(true); },
+                .mRestored = [this] { Notify(false); } })
   , mDirectory({ .mNode = mOptions.mSelf.mNode,
                  .mDataCentre = mOptions.mSelf.mDataCentre,
                  .mRegion = mOptions.mSelf.mRegion })
@@ -84,10 +81,18 @@
 {
   mRoutesVersion = aVersion;
   if (IsWatching()) {
-    mServer.Notify({ .mRoutesVersion = aVersion });
+    Notify(false);
   }
 }
 
+void
+Discovery::Notify(bool aIsRegained)
+{
+  mServer.Notify({ .mRoutesVersion = mRoutesVersion,
+                   .mIsRegained = aIsRegained,
+                   .mStoreEra = StoreEra() });
+}
+
 void
 Discovery::PeerState(TimePoint aNow, const NodeState& aState)
 {
@@ -110,6 +115,7 @@
                                mOptions.mSelf.mDataCentre,
                              aNotice.mRoutesVersion);
   AskForRoutes(aNow);
+  mFollower.EraTold(aNow, aNotice.mStoreEra);
   if (aNotice.mIsRegained) {
     mFollower.CheckEntry(aNow);
   }
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -277,17 +277,35 @@
                         uint64_t aEra)
 {
   mLatestDetail = aDetail;
+  // Other nodes hear of it from those that watch.
+  if (EraSeen(aNow, aEra) && mIsWatching) {
+    mEvents.mRestored();
+  }
+}
+
+void
+StoreFollower::EraTold(TimePoint aNow, uint64_t aEra)
+{
+  EraSeen(aNow, aEra);
+}
+
+bool
+StoreFollower::EraSeen(TimePoint aNow, uint64_t aEra)
+{
   if (aEra <= mEra) {
-    return;
+    return false;
   }
-  if (mEra != 0) {
-    mLogger.Write(
-      aNow,
-      LogLevel::Warning,
-      "store-restored",
-      { { "era", std::to_string(aEra) }, { "before", std::to_string(mEra) } });
+  const uint64_t before = std::exchange(mEra, aEra);
+  mRoutes.EraSeen(aNow, aEra);
+  if (before == 0) {
+    return false;
   }
-  mEra = aEra;
+  mLogger.Write(
+    aNow,
+    LogLevel::Warning,
+    "store-restored",
+    { { "era", std::to_string(aEra) }, { "before", std::to_string(before) } });
+  return true;
 }
 
 void
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -101,8 +101,9 @@
   uint64_t mRoutesVersion = 0; ///< Newest version that the sender holds.
   /** The store is back after an outage, in which entries may have ended. */
   bool mIsRegained = false;
+  uint64_t mStoreEra = 0; ///< 0 if unknown.
 
-  MSGPACK_DEFINE(mRoutesVersion, mIsRegained)
+  MSGPACK_DEFINE(mRoutesVersion, mIsRegained, mStoreEra)
 };
 
 /** Load of the gate of a target, attached to each reply. */
