Check the own entry in the store after it has come back from a copy

What operators would see: nodes whose entry was written in the lost time stay without one, so that new nodes do not find them. A lease that the store has given out again is renewed as the node's own, for ever; where it is not, the loss is noticed with the next renewal, up to 20 s later.

Cause and class of fault: as for the routes, an identifier that holds within one life of the store is used across two.

Change: a node that learns of a new era, by an answer or from the watchers, reads its entry; where value or lease are not its own, it takes a new lease and writes it again. A lease that was granted in one era and used in another is given up. Reading was chosen over writing anew, as a fleet of 4,140 nodes would take all writes of the store for 20 s; the reads of all nodes, and the checks of leases after an outage, are now spread over the time that 1,000 a second take.

--- a/libs/discovery/include/discovery/Registration.h
+++ b/libs/discovery/include/discovery/Registration.h
@@ -14,6 +14,7 @@
   GrantLease,
   Put,
   KeepLease,
+  ReadEntry, ///< Reads the own entry; its result goes to EntryRead().
 };
 
 /** Keeps the entry of one node in the store under a lease. Only decides which
@@ -35,6 +36,14 @@
   /** @return the call to make now, if any. At most one is in flight. */
   std::optional<RegistrationCall> Next(TimePoint aNow);
   void Done(TimePoint aNow, const StoreResult& aResult);
+  /** Takes the result of ReadEntry.
+   * @param aIsOwn whether the entry has the value and the lease of this node.
+   */
+  void EntryRead(TimePoint aNow, const StoreChanges& aResult, bool aIsOwn);
+  /** Records that the store was restored if the era is new: the entry may be
+   * gone, and its lease given out again.
+   * @param aReadAt when to read the entry. */
+  void EraSeen(uint64_t aEra, TimePoint aReadAt);
   /** Records that a list has shown the entry to be missing from the store. */
   void EntryMissing(TimePoint aNow);
   /** Moves the next renewal forward, which shows whether the lease lives. */
@@ -53,9 +62,15 @@
   [[nodiscard]] bool IsFailing() const { return mPacer.IsFailing(); }
 
 private:
+  /** Gives up the lease and the entry. */
+  void Abandon();
+
   CallPacer mPacer;
   RegistrationCall mCall = RegistrationCall::GrantLease;
+  uint64_t mEra = 0; ///< Highest that was seen.
   uint64_t mLease = 0;
+  uint64_t mLeaseEra = 0; ///< In which the lease is known to be of this node.
+  std::optional<TimePoint> mReadAt; ///< Set while the entry has to be read.
   bool mIsRegistered = false;
   bool mMustCheckLease = false; ///< The lease may have expired.
   bool mStopped = false;
--- a/libs/discovery/src/Registration.cpp
+++ b/libs/discovery/src/Registration.cpp
@@ -18,6 +18,11 @@
   }
   if (mLease == 0) {
     mCall = RegistrationCall::GrantLease;
+  } else if (mReadAt && mIsRegistered) {
+    if (aNow < *mReadAt) {
+      return std::nullopt;
+    }
+    mCall = RegistrationCall::ReadEntry;
   } else if (mMustCheckLease || (mIsRegistered && aNow >= mRenewAt)) {
     mCall = RegistrationCall::KeepLease;
   } else if (!mIsRegistered) {
@@ -40,7 +45,9 @@
     mPacer.Succeeded(aNow);
     return;
   }
-  if (aResult.mStatus != StoreStatus::Done) {
+  const bool isOutdated = mCall == RegistrationCall::GrantLease &&
+                          aResult.mEra < mEra; // From before a restore.
+  if (aResult.mStatus != StoreStatus::Done || isOutdated) {
     mPacer.Failed(aNow);
     return;
   }
@@ -48,17 +55,71 @@
   switch (mCall) {
     case RegistrationCall::GrantLease:
       mLease = aResult.mLease;
+      mLeaseEra = aResult.mEra;
+      mReadAt.reset();
       break;
     case RegistrationCall::Put:
-      mIsRegistered = true;
+      // In another era, the lease may be that of another holder.
+      if (mLease == 0 || aResult.mEra != mLeaseEra) {
+        Abandon();
+      } else {
+        mIsRegistered = true;
+      }
       break;
     case RegistrationCall::KeepLease:
       mMustCheckLease = false;
       break;
+    case RegistrationCall::ReadEntry:
+      break;
   }
   mRenewAt = aNow + (mIsWatching ? kWatcherRenewalInterval : kRenewalInterval);
 }
 
+void
+Registration::EntryRead(TimePoint aNow,
+                        const StoreChanges& aResult,
+                        bool aIsOwn)
+{
+  if (aResult.mStatus != StoreStatus::Done || aResult.mEra < mEra) {
+    mPacer.Failed(aNow);
+    return;
+  }
+  mPacer.Succeeded(aNow);
+  if (!aIsOwn) {
+    Abandon();
+    return;
+  }
+  mReadAt.reset();
+  mLeaseEra = aResult.mEra;
+  mRenewAt = aNow; // The copy may have an early end of the lease.
+}
+
+void
+Registration::EraSeen(uint64_t aEra, TimePoint aReadAt)
+{
+  if (aEra <= mEra) {
+    return;
+  }
+  mEra = aEra;
+  if (mLease == 0 || mLeaseEra == aEra) {
+    return;
+  }
+  if (mIsRegistered) {
+    mReadAt = aReadAt;
+  } else {
+    Abandon();
+  }
+}
+
+void
+Registration::Abandon()
+{
+  mLease = 0;
+  mIsRegistered = false;
+  mMustCheckLease = false;
+  mReadAt.reset();
+}
+
 void
 Registration::RenewBy(TimePoint aTime)
 {
--- a/libs/discovery/tests/DiscoveryTest.cpp
+++ b/libs/discovery/tests/DiscoveryTest.cpp
@@ -215,3 +215,103 @@
   REQUIRE(call);
   CHECK(call->mIsList);
 }
+
+namespace {
+
+/** A Registration and the results of its calls. */
+class RegisteredNode
+{
+public:
+  RegisteredNode()
+  {
+    Expect(RegistrationCall::GrantLease);
+    Done({ .mStatus = StoreStatus::Done, .mLease = 7, .mEra = 1 });
+    Expect(RegistrationCall::Put);
+    Done({ .mStatus = StoreStatus::Done, .mEra = 1 });
+    REQUIRE(mRegistration.IsRegistered());
+  }
+
+  void Expect(RegistrationCall aCall)
+  {
+    const auto call = mRegistration.Next(mNow);
+    REQUIRE(call);
+    CHECK(*call == aCall);
+  }
+  void Done(const StoreResult& aResult) { mRegistration.Done(mNow, aResult); }
+  void Read(bool aIsOwn, uint64_t aEra = 2)
+  {
+    mRegistration.EntryRead(
+      mNow, { .mStatus = StoreStatus::Done, .mEra = aEra }, aIsOwn);
+  }
+
+  Registration mRegistration{ 1 };
+  TimePoint mNow = kNow;
+};
+
+} // namespace
+
+TEST_CASE("an entry that a restored store still has is kept with its lease")
+{
+  RegisteredNode node;
+  node.mRegistration.EraSeen(2, kNow + seconds(1));
+  CHECK_FALSE(node.mRegistration.Next(kNow));
+  node.mNow = kNow + seconds(1);
+  node.Expect(RegistrationCall::ReadEntry);
+  node.Read(true);
+  node.Expect(RegistrationCall::KeepLease);
+  node.Done({ .mStatus = StoreStatus::Done, .mEra = 2 });
+  CHECK(node.mRegistration.Lease() == 7);
+  node.mRegistration.EraSeen(2, kNow); // It is known already.
+  CHECK_FALSE(node.mRegistration.Next(node.mNow));
+}
+
+// Guards against a lease that the restored store has given to another holder.
+TEST_CASE("an entry that a restored store has lost gets a new lease")
+{
+  RegisteredNode node;
+  node.mRegistration.EraSeen(2, kNow);
+  node.Expect(RegistrationCall::ReadEntry);
+  SECTION("the entry is missing")
+  {
+    node.Read(false);
+  }
+  SECTION("an answer from before the restore says nothing")
+  {
+    node.Read(true, 1);
+    node.mNow += seconds(2);
+    node.Expect(RegistrationCall::ReadEntry);
+    node.Read(false);
+  }
+  SECTION("the entry changes meanwhile and is written with the old lease")
+  {
+    node.mRegistration.EntryChanged();
+    node.Read(true, 1);
+    node.mNow += seconds(2);
+    node.Expect(RegistrationCall::Put);
+    node.Done({ .mStatus = StoreStatus::Done, .mEra = 2 });
+    CHECK_FALSE(node.mRegistration.IsRegistered());
+  }
+  node.Expect(RegistrationCall::GrantLease);
+  node.Done({ .mStatus = StoreStatus::Done, .mLease = 7, .mEra = 2 });
+  node.Expect(RegistrationCall::Put);
+  node.Done({ .mStatus = StoreStatus::Done, .mEra = 2 });
+  CHECK(node.mRegistration.IsRegistered());
+}
+
+TEST_CASE("a lease granted before a restore is not used after it")
+{
+  Registration registration(1);
+  REQUIRE(registration.Next(kNow) == RegistrationCall::GrantLease);
+  registration.EraSeen(2, kNow);
+  registration.Done(kNow,
+                    { .mStatus = StoreStatus::Done, .mLease = 7, .mEra = 1 });
+  const TimePoint later = kNow + seconds(2);
+  CHECK(registration.Next(later) == RegistrationCall::GrantLease);
+  registration.Done(later,
+                    { .mStatus = StoreStatus::Done, .mLease = 8, .mEra = 2 });
+  REQUIRE(registration.Next(later) == RegistrationCall::Put);
+  registration.EraSeen(3, later); // While the entry is written.
+  registration.Done(later, { .mStatus = StoreStatus::Done, .mEra = 3 });
+  CHECK_FALSE(registration.IsRegistered());
+  CHECK(registration.Next(later) == RegistrationCall::GrantLease);
+}
--- a/libs/platform/include/platform/LeasedStore.h
+++ b/libs/platform/include/platform/LeasedStore.h
@@ -40,6 +40,7 @@
   std::string mKey;
   std::optional<std::string> mValue;
   uint64_t mRevision = 0;
+  uint64_t mLease = 0; ///< The key ends with it; 0 for none.
 };
 
 /** Result of List and Watch. */
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -41,6 +41,8 @@
     std::function<void()> mRegained;
     /** This node watches, and has found that the store was restored. */
     std::function<void()> mRestored;
+    /** @return the number of nodes, as far as it is known here. */
+    std::function<size_t()> mNodeCount;
   };
 
   StoreFollower(Logger& aLogger,
@@ -77,6 +79,9 @@
   void ListNodes(TimePoint aNow);
   void NodesListed(TimePoint aNow, const StoreChanges& aResult);
   void Register(TimePoint aNow);
+  void ReadEntry();
+  /** @return when to check the entry of this node, if all nodes do so now. */
+  TimePoint DrawCheckTime(TimePoint aNow);
   /** Notes an answer of the store, or that there was none. */
   void NoteCall(TimePoint aNow, const std::string& aDetail, uint64_t aEra);
   /** @return whether the store was restored since its era was seen last. */
--- a/libs/proxy/src/Discovery.cpp
+++ b/libs/proxy/src/Discovery.cpp
@@ -44,7 +44,8 @@
                   },
                 .mReachChanged = [this] { mEvents.mStateChanged(); },
                 .mRegained = [this] { Notify(true); },
-                .mRestored = [this] { Notify(false); } })
+                .mRestored = [this] { Notify(false); },
+                .mNodeCount = [this] { return mDirectory.Size() + 1; } })
   , mDirectory({ .mNode = mOptions.mSelf.mNode,
                  .mDataCentre = mOptions.mSelf.mDataCentre,
                  .mRegion = mOptions.mSelf.mRegion })
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "proxy/StoreFollower.h"
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 #include <utility>
@@ -22,8 +23,10 @@
 // The store counts as unreachable if calls have failed for this time.
 constexpr Duration kReachPatience = milliseconds(1000);
 // Entries have to be back within two seconds after the store; the checks of all
-// nodes spread over this time.
+// nodes spread over this time, or longer in a large fleet, at this rate: half
+// of the reads that a store serves.
 constexpr Duration kCheckSpread = milliseconds(500);
+constexpr double kChecksPerSecond = 1000;
 
 // `run address data-centre service`; the key has the region and the node.
 std::string
@@ -119,8 +122,15 @@
 void
 StoreFollower::CheckEntry(TimePoint aNow)
 {
-  mRegistration.RenewBy(aNow +
-                        FromSeconds(ToSeconds(kCheckSpread) * mRng.Uniform()));
+  mRegistration.RenewBy(DrawCheckTime(aNow));
+}
+
+TimePoint
+StoreFollower::DrawCheckTime(TimePoint aNow)
+{
+  const double most = std::max(ToSeconds(kCheckSpread),
+                               double(mEvents.mNodeCount()) / kChecksPerSecond);
+  return aNow + FromSeconds(most * mRng.Uniform());
 }
 
 void
@@ -261,9 +271,37 @@
     case RegistrationCall::KeepLease:
       mStore.KeepLease(mRegistration.Lease(), done);
       break;
+    case RegistrationCall::ReadEntry:
+      ReadEntry();
+      break;
   }
 }
 
+void
+StoreFollower::ReadEntry()
+{
+  mStore.List(OwnKey(), [this](const StoreChanges& aResult) {
+    const TimePoint now = EventLoop::Now();
+    const bool isOwn =
+      std::any_of(aResult.mChanges.begin(),
+                  aResult.mChanges.end(),
+                  [this](const StoreChange& aItem) {
+                    return aItem.mKey == OwnKey() &&
+                           aItem.mValue == EncodeEntry(mOptions.mSelf) &&
+                           aItem.mLease == mRegistration.Lease();
+                  });
+    mRegistration.EntryRead(now, aResult, isOwn);
+    if (aResult.mStatus == StoreStatus::Done) {
+      mLogger.Write(now,
+                    isOwn ? LogLevel::Info : LogLevel::Warning,
+                    isOwn ? "store-entry-kept" : "store-entry-lost",
+                    { { "era", std::to_string(aResult.mEra) } });
+    }
+    NoteCall(now, aResult.mDetail, aResult.mEra);
+    Tick(now);
+  });
+}
+
 bool
 StoreFollower::IsFailing() const
 {
@@ -297,6 +335,7 @@
   }
   const uint64_t before = std::exchange(mEra, aEra);
   mRoutes.EraSeen(aNow, aEra);
+  mRegistration.EraSeen(aEra, DrawCheckTime(aNow));
   if (before == 0) {
     return false;
   }
--- a/libs/proxy/tests/MemoryStore.h
+++ b/libs/proxy/tests/MemoryStore.h
@@ -125,7 +125,8 @@
                 .mEra = mData.mEra };
         for (const auto& [key, item] : mData.mContent.mItems) {
           if (key.starts_with(aPrefix)) {
-            out.mChanges.push_back({ key, item.mValue, item.mRevision });
+            out.mChanges.push_back(
+              { key, item.mValue, item.mRevision, item.mLease });
           }
         }
       }
