Test that a change in a restored store reaches the nodes of the node command

The same cause was looked for in the manifest of the node command, whose watchers compare revisions of the store as well. It could not be brought about there: the store answers a watch whenever the revision is another one, so the watchers see the restored head before a new one can have their revision; and versions are drawn above all that the nodes hold. The test passes without a change.

--- a/libs/node/tests/ControlLogicTest.cpp
+++ b/libs/node/tests/ControlLogicTest.cpp
@@ -319,6 +319,26 @@
   CheckViolations(fleet);
 }
 
+// Guards against a change that is missed because the restored store gives it a
+// revision that the watchers know already.
+TEST_CASE("a change in a restored store is in force within 14 s", "[control]")
+{
+  for (const uint64_t seed : { 82, 83, 84 }) {
+    CAPTURE(seed);
+    ControlFleet fleet({ .mNodes = 10, .mSeed = seed });
+    Form(fleet);
+    fleet.Store().Save();
+    fleet.Publish("second");
+    REQUIRE(fleet.RunUntil(seconds(14), [&] { return fleet.IsInForce(2); }));
+    fleet.Run(milliseconds(200)); // The watches of the new revision begin.
+    fleet.Store().Restore();
+    const auto report = fleet.Publish("third");
+    REQUIRE(report.mVerdict == PublishVerdict::Accepted);
+    CHECK(fleet.RunUntil(seconds(14), [&] { return fleet.IsInForce(3); }));
+    CheckViolations(fleet);
+  }
+}
+
 // Guards against two contents under one version that go unnoticed.
 TEST_CASE("an equal version with another digest raises an alarm", "[control]")
 {
