--- a/libs/discovery/tests/DiscoveryTest.cpp
+++ b/libs/discovery/tests/DiscoveryTest.cpp
@@ -192,7 +192,7 @@
 TEST_CASE("keys of a restored store are reported whatever their revision")
 {
   PrefixWatcher watcher({});
-  const auto done = [&](StoreChanges aResult) {
+  const auto done = [&](const StoreChanges& aResult) {
     const auto call = watcher.Next(kNow);
     REQUIRE(call);
     return watcher.Done(kNow, call->mNumber, aResult);
