--- /dev/null
+++ b/libs/proxy/src/ProxyParts.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "proxy/CallerSide.h"
+#include "proxy/Discovery.h"
+#include "proxy/Forwarder.h"
+#include "proxy/PeerLinks.h"
+#include "proxy/PeerServer.h"
+#include "proxy/ProxyProcess.h"
+#include "proxy/UpstreamSide.h"
+
+namespace amaranthgap {
+
+/** The parts of a proxy and what they tell each other. */
+struct ProxyProcess::Parts
+{
+  Parts(EventLoop& aLoop, ProxySettings aSettings, Binding aBinding);
+
+  Status Start();
+  void Tick(TimePoint aNow);
+  void SlowTick(TimePoint aNow);
+  void StartShutdown(TimePoint aNow);
+  void TakeRoutes(const std::string& aDocument, const char* aFrom);
+  /** Logs routes that are not taken. */
+  void LogOldRoutes(const RouteTable& aTable,
+                    const std::string& aDocument,
+                    const char* aFrom);
+  void PeerState(TimePoint aNow, const NodeState& aState);
+  void Announce();
+  HttpResponse AnswerReady(const HttpRequest& aRequest) const;
+  HttpResponse AnswerUpstream(const HttpRequest& aRequest);
+  std::string MetricsText() const;
+  NodeState OwnState() const;
+  uint64_t Send(TimePoint aNow,
+                const std::string& aNode,
+                ForwardRequest aRequest,
+                std::function<void(ForwardReply)> aDone);
+  void UpstreamChanged();
+  /** Takes no more work for a run of the upstream that leaves. */
+  void UpstreamLeaves(TimePoint aNow,
+                      const std::string& aInstance,
+                      int64_t aStartedMillis);
+  /** Takes over what is known of the upstream. */
+  void ApplyReport(TimePoint aNow);
+  /** Takes what the upstream told before this process started. */
+  void NoticeReturned(TimePoint aNow,
+                      const NodeAddress& aPeer,
+                      const UpstreamNotice& aNotice);
+  [[nodiscard]] bool IsReady(TimePoint aNow) const;
+
+  ProxySettings mSettings;
+  Binding mBinding;
+  uint64_t mSeed;
+  uint64_t mRun; ///< Start of this process by the wall clock.
+  uint64_t mRevision = 0;
+  EventLoop& mLoop;
+  Logger mLogger;
+  TimePoint mStarted = EventLoop::Now();
+  std::unique_ptr<LeasedStore> mStore;
+  UpstreamSide mUpstream;
+  HeartbeatTracker mHeartbeats;
+  Forwarder mForwarder;
+  CallerSide mCallers;
+  CallerSide mReadySide;
+  CallerSide mReportSide;
+  PeerLinks mLinks;
+  PeerServer mPeerServer;
+  std::unique_ptr<Discovery> mDiscovery;
+  Timer mTimer;
+  Timer mSlowTimer;
+  RouteTablePtr mRoutes;
+  std::string mRoutesDocument;
+  TimePoint mReported{};
+  std::optional<TimePoint> mShutdownSince;
+  std::function<void()> mOnStopped;
+};
+
+} // namespace amaranthgap
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -1,16 +1,10 @@
-#include "proxy/ProxyProcess.h"
+#include "ProxyParts.h"
 
 #include <random>
 
 #include <fmt/format.h>
 
-#include "proxy/CallerSide.h"
-#include "proxy/Discovery.h"
-#include "proxy/Forwarder.h"
-#include "proxy/PeerLinks.h"
-#include "proxy/PeerServer.h"
 #include "proxy/ProxyMetrics.h"
-#include "proxy/UpstreamSide.h"
 
 namespace amaranthgap {
 
@@ -29,7 +23,6 @@
 constexpr Duration kReportPause = milliseconds(500);
 
 constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -49,74 +42,13 @@
 
 } // namespace
 
-struct ProxyProcess::Parts
-{
-  Parts(EventLoop& aLoop, ProxySettings aSettings, Binding aBinding);
-
-  Status Start();
-  void Tick(TimePoint aNow);
-  void SlowTick(TimePoint aNow);
-  void StartShutdown(TimePoint aNow);
-  void TakeRoutes(const std::string& aDocument, const char* aFrom);
-  /** Logs routes that are not taken. */
-  void LogOldRoutes(const RouteTable& aTable,
-                    const std::string& aDocument,
-                    const char* aFrom);
-  void PeerState(TimePoint aNow, const NodeState& aState);
-  void Announce();
-  HttpResponse AnswerReady(const HttpRequest& aRequest) const;
-  HttpResponse AnswerUpstream(const HttpRequest& aRequest);
-  std::string MetricsText() const;
-  NodeState OwnState() const;
-  uint64_t Send(TimePoint aNow,
-                const std::string& aNode,
-                ForwardRequest aRequest,
-                std::function<void(ForwardReply)> aDone);
-  void UpstreamChanged();
-  /** Takes no more work for a run of the upstream that leaves. */
-  void UpstreamLeaves(TimePoint aNow,
-                      const std::string& aInstance,
-                      int64_t aStartedMillis);
-  /** Takes over what is known of the upstream. */
-  void ApplyReport(TimePoint aNow);
-  /** Takes what the upstream told before this process started. */
-  void NoticeReturned(TimePoint aNow,
-                      const NodeAddress& aPeer,
-                      const UpstreamNotice& aNotice);
-  [[nodiscard]] bool IsReady(TimePoint aNow) const;
-
-  ProxySettings mSettings;
-  Binding mBinding;
-  uint64_t mSeed = DrawSeed();
-  uint64_t mRun = WallMillis();
-  uint64_t mRevision = 0;
-  EventLoop& mLoop;
-  Logger mLogger;
-  TimePoint mStarted = EventLoop::Now();
-  std::unique_ptr<LeasedStore> mStore;
-  UpstreamSide mUpstream;
-  HeartbeatTracker mHeartbeats;
-  Forwarder mForwarder;
-  CallerSide mCallers;
-  CallerSide mReadySide;
-  CallerSide mReportSide;
-  PeerLinks mLinks;
-  PeerServer mPeerServer;
-  std::unique_ptr<Discovery> mDiscovery;
-  Timer mTimer;
-  Timer mSlowTimer;
-  RouteTablePtr mRoutes;
-  std::string mRoutesDocument;
-  TimePoint mReported{};
-  std::optional<TimePoint> mShutdownSince;
-  std::function<void()> mOnStopped;
-};
-
 ProxyProcess::Parts::Parts(EventLoop& aLoop,
                            ProxySettings aSettings,
                            Binding aBinding)
   : mSettings(std::move(aSettings))
   , mBinding(std::move(aBinding))
+  , mSeed(DrawSeed())
+  , mRun(WallMillis())
   , mLoop(aLoop)
   , mLogger({ .mLevel = mSettings.mLogLevel,
               .mNode = mSettings.mNodeId,
@@ -309,25 +241,6 @@
   mPeerServer.Announce();
 }
 
-void
-ProxyProcess::Parts::UpstreamChanged()
-{
-  ++mRevision;
-  if (!mUpstream.Service().empty()) {
-    mDiscovery->SetService(mUpstream.Service());
-  }
-  const NodeState state = OwnState();
-  mLogger.Write(EventLoop::Now(),
-                LogLevel::Info,
-                "upstream-changed",
-                { { "service", state.mService },
-                  { "instance", state.mInstance },
-                  { "takes_work", state.mTakesWork ? "yes" : "no" },
-                  { "limit", std::to_string(state.mLimit) } });
-  mForwarder.Targets().SetTarget(EventLoop::Now(), state);
-  mPeerServer.Announce();
-}
-
 void
 ProxyProcess::Parts::LogOldRoutes(const RouteTable& aTable,
                                   const std::string& aDocument,
@@ -424,82 +337,6 @@
                          .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 });
 }
 
-HttpResponse
-ProxyProcess::Parts::AnswerUpstream(const HttpRequest& aRequest)
-{
-  const TimePoint now = EventLoop::Now();
-  auto message = mBinding.mReadUpstream(aRequest);
-  if (!message) {
-    mLogger.Write(
-      now,
-      LogLevel::Warning,
-      "upstream-message-unusable",
-      { { "path", aRequest.mPath }, { "detail", message.error().ToString() } });
-    return { .mStatus = kBadRequest };
-  }
-  if (const auto* report = std::get_if<UpstreamReport>(&message.value())) {
-    const ReportOutcome verdict = mHeartbeats.Offer(now, *report);
-    if (verdict != ReportOutcome::Current) {
-      mLogger.Write(now,
-                    LogLevel::Info,
-                    "upstream-report-ignored",
-                    { { "verdict", std::string(ToName(verdict)) },
-                      { "instance", report->mInstance },
-                      { "sequence", std::to_string(report->mSequence) } });
-    }
-  } else {
-    const auto& end = std::get<UpstreamEnd>(message.value());
-    mHeartbeats.Ended(now, end.mInstance, end.mStartedMillis);
-    mLogger.Write(now,
-                  LogLevel::Info,
-                  "upstream-ended",
-                  { { "instance", end.mInstance },
-                    { "started", std::to_string(end.mStartedMillis) } });
-  }
-  ApplyReport(now);
-  return { .mStatus = kOk,
-           .mHeaders = { { "Content-Type", "application/json" } },
-           .mBody = "{}" };
-}
-
-void
-ProxyProcess::Parts::ApplyReport(TimePoint aNow)
-{
-  if (const UpstreamReport* latest = mHeartbeats.Latest()) {
-    mUpstream.SetReport(aNow, *latest, mHeartbeats.TakesWork());
-    mForwarder.SetService(latest->mService);
-  }
-}
-
-void
-ProxyProcess::Parts::UpstreamLeaves(TimePoint aNow,
-                                    const std::string& aInstance,
-                                    int64_t aStartedMillis)
-{
-  if (mHeartbeats.Ended(aNow, aInstance, aStartedMillis)) {
-    ApplyReport(aNow);
-  }
-}
-
-void
-ProxyProcess::Parts::NoticeReturned(TimePoint aNow,
-                                    const NodeAddress& aPeer,
-                                    const UpstreamNotice& aNotice)
-{
-  const auto& rate = aNotice.mRequestsPerSecond;
-  mLogger.Write(aNow,
-                LogLevel::Info,
-                "upstream-notice-returned",
-                { { "peer", aPeer.mNode },
-                  { "instance", aNotice.mInstance },
-                  { "limit_per_s", rate ? fmt::format("{:.2f}", *rate) : "" },
-                  { "leaving", aNotice.mIsLeaving ? "yes" : "no" } });
-  if (aNotice.mIsLeaving) {
-    UpstreamLeaves(aNow, aNotice.mInstance, aNotice.mStartedMillis);
-  }
-  mUpstream.ReturnNotice(aNow, aNotice);
-}
-
 void
 ProxyProcess::Parts::StartShutdown(TimePoint aNow)
 {
--- /dev/null
+++ b/libs/proxy/src/ProxyUpstream.cpp
@@ -0,0 +1,111 @@
+// What a proxy does with the reports and notices of its upstream.
+
+#include "ProxyParts.h"
+
+#include <fmt/format.h>
+
+namespace amaranthgap {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+
+} // namespace
+
+HttpResponse
+ProxyProcess::Parts::AnswerUpstream(const HttpRequest& aRequest)
+{
+  const TimePoint now = EventLoop::Now();
+  auto message = mBinding.mReadUpstream(aRequest);
+  if (!message) {
+    mLogger.Write(
+      now,
+      LogLevel::Warning,
+      "upstream-message-unusable",
+      { { "path", aRequest.mPath }, { "detail", message.error().ToString() } });
+    return { .mStatus = kBadRequest };
+  }
+  if (const auto* report = std::get_if<UpstreamReport>(&message.value())) {
+    const ReportOutcome verdict = mHeartbeats.Offer(now, *report);
+    if (verdict != ReportOutcome::Current) {
+      mLogger.Write(now,
+                    LogLevel::Info,
+                    "upstream-report-ignored",
+                    { { "verdict", std::string(ToName(verdict)) },
+                      { "instance", report->mInstance },
+                      { "sequence", std::to_string(report->mSequence) } });
+    }
+  } else {
+    const auto& end = std::get<UpstreamEnd>(message.value());
+    mHeartbeats.Ended(now, end.mInstance, end.mStartedMillis);
+    mLogger.Write(now,
+                  LogLevel::Info,
+                  "upstream-ended",
+                  { { "instance", end.mInstance },
+                    { "started", std::to_string(end.mStartedMillis) } });
+  }
+  ApplyReport(now);
+  return { .mStatus = kOk,
+           .mHeaders = { { "Content-Type", "application/json" } },
+           .mBody = "{}" };
+}
+
+void
+ProxyProcess::Parts::ApplyReport(TimePoint aNow)
+{
+  if (const UpstreamReport* latest = mHeartbeats.Latest()) {
+    mUpstream.SetReport(aNow, *latest, mHeartbeats.TakesWork());
+    mForwarder.SetService(latest->mService);
+  }
+}
+
+void
+ProxyProcess::Parts::UpstreamLeaves(TimePoint aNow,
+                                    const std::string& aInstance,
+                                    int64_t aStartedMillis)
+{
+  if (mHeartbeats.Ended(aNow, aInstance, aStartedMillis)) {
+    ApplyReport(aNow);
+  }
+}
+
+void
+ProxyProcess::Parts::NoticeReturned(TimePoint aNow,
+                                    const NodeAddress& aPeer,
+                                    const UpstreamNotice& aNotice)
+{
+  const auto& rate = aNotice.mRequestsPerSecond;
+  mLogger.Write(aNow,
+                LogLevel::Info,
+                "upstream-notice-returned",
+                { { "peer", aPeer.mNode },
+                  { "instance", aNotice.mInstance },
+                  { "limit_per_s", rate ? fmt::format("{:.2f}", *rate) : "" },
+                  { "leaving", aNotice.mIsLeaving ? "yes" : "no" } });
+  if (aNotice.mIsLeaving) {
+    UpstreamLeaves(aNow, aNotice.mInstance, aNotice.mStartedMillis);
+  }
+  mUpstream.ReturnNotice(aNow, aNotice);
+}
+
+void
+ProxyProcess::Parts::UpstreamChanged()
+{
+  ++mRevision;
+  if (!mUpstream.Service().empty()) {
+    mDiscovery->SetService(mUpstream.Service());
+  }
+  const NodeState state = OwnState();
+  mLogger.Write(EventLoop::Now(),
+                LogLevel::Info,
+                "upstream-changed",
+                { { "service", state.mService },
+                  { "instance", state.mInstance },
+                  { "takes_work", state.mTakesWork ? "yes" : "no" },
+                  { "limit", std::to_string(state.mLimit) } });
+  mForwarder.Targets().SetTarget(EventLoop::Now(), state);
+  mPeerServer.Announce();
+}
+
+} // namespace amaranthgap
