Move what upstreams tell in answers into NoticeTracker, and announce it always

Load and its log lines move to UpstreamLoad.cpp, and the scale of shares to the messages that carry them.

While moving, a gap showed: an upstream that announced its leaving while it counted as down was not announced to other nodes as leaving, so they could not return it after a restart.

--- a/libs/forwarding/include/forwarding/UpstreamLimiter.h
+++ b/libs/forwarding/include/forwarding/UpstreamLimiter.h
@@ -26,8 +26,7 @@
 /** Limits the concurrent requests of the upstream beside a node, and their rate
  * while the upstream names a limit, and queues the excess. All requests to the
  * upstream pass through it, so it counts them itself instead of relying on
- * reports. Requests that cannot start in
- * time are refused at once.
+ * reports. Requests that cannot start in time are refused at once.
  *
  * The queue is ordered by priority, which calls inherit from the request that
  * made them, then nested before root requests, then by arrival. Refusing a
--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -46,7 +46,6 @@
 // factor at full load, so that requests go to other targets before they queue.
 constexpr double kHighLoadShare = 0.7;
 constexpr double kFullLoadFactor = 2.5;
-constexpr double kThousandths = 1000;
 constexpr double kMillisPerSecond = 1000;
 constexpr Duration kInitialBackoff = milliseconds(200);
 constexpr Duration kMaxBackoff = seconds(4);
--- a/libs/proxy/include/proxy/Binding.h
+++ b/libs/proxy/include/proxy/Binding.h
@@ -2,12 +2,12 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 
 #include "forwarding/HeartbeatTracker.h"
+#include "forwarding/NoticeTracker.h"
 #include "forwarding/RouteTable.h"
 #include "platform/LeasedStore.h"
 #include "wire/Http.h"
@@ -38,16 +38,6 @@
 
 using UpstreamMessage = std::variant<UpstreamReport, UpstreamEnd>;
 
-/** What an answer of an upstream says of the upstream itself. */
-struct AnswerNotice
-{
-  /** Rate of requests that it takes from all nodes together; no limit if empty.
-   */
-  std::optional<double> mRequestsPerSecond;
-  bool mIsLeaving = false;
-  std::string mUnusable; ///< Header that could not be read; empty if none.
-};
-
 /** What a deployment brings along: its names, its store, and the forms in
  * which its operators and upstreams write. */
 struct Binding
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -12,6 +12,7 @@
 #include "base/Logger.h"
 #include "forwarding/CallKindStats.h"
 #include "forwarding/CapacityPlan.h"
+#include "forwarding/NoticeTracker.h"
 #include "forwarding/TreeLoad.h"
 #include "forwarding/UpstreamLimiter.h"
 #include "http/ClientConnection.h"
@@ -44,8 +45,7 @@
   void SetReport(TimePoint aNow,
                  const UpstreamReport& aReport,
                  bool aTakesWork);
-  /** Takes the rate limit that another node was told before this one started.
-   * It holds until an answer tells; of several, the lowest. */
+  /** Takes what the upstream told another node before this one started. */
   void ReturnNotice(TimePoint aNow, const UpstreamNotice& aNotice);
   /** Refuses new attempts from now on; those under way go on. */
   void StopWork();
@@ -73,9 +73,15 @@
   [[nodiscard]] bool TakesWork() const { return mTakesWork && !mIsDown; }
   [[nodiscard]] uint32_t Limit() const { return mGate.Limit(); }
   [[nodiscard]] const std::string& Service() const { return mService; }
-  [[nodiscard]] const std::string& Instance() const { return mInstance; }
+  [[nodiscard]] const std::string& Instance() const
+  {
+    return mNotices.Instance();
+  }
   /** @return what the upstream told that restricts its use, if anything. */
-  [[nodiscard]] std::optional<UpstreamNotice> Notice() const;
+  [[nodiscard]] std::optional<UpstreamNotice> Notice() const
+  {
+    return mNotices.Current(mGate.Rate());
+  }
   [[nodiscard]] size_t InFlight() const { return mAttempts.size(); }
   /** @return the bytes of memory that incomplete responses take. */
   [[nodiscard]] size_t ResponseBytes() const;
@@ -117,8 +123,6 @@
   void Answered(ExecutionId aExecution,
                 ExchangeEnd aEnd,
                 ReceivedResponse aResponse);
-  /** Applies the returned notice if it is of the present instance. */
-  void ApplyReturnedNotice(TimePoint aNow);
   [[nodiscard]] static RunEnd EndOf(const ForwardReply& aReply);
   /** Takes what an answer says of the upstream itself.
    * @param aHasRun whether the upstream ran the request. */
@@ -144,17 +148,12 @@
   UpstreamLimiter mGate;
   CapacityPlan mPlan;
   std::string mService;
-  std::string mInstance;
-  int64_t mRunStartedMillis = 0; ///< Start of the upstream; 0 if unknown.
+  NoticeTracker mNotices;
   bool mTakesWork = false;
-  bool mIsLeaving = false; ///< Announced by the upstream.
-  bool mIsDown = false;    ///< Seen by its connections, until its next report.
+  bool mIsDown = false; ///< Seen by its connections, until its next report.
   bool mStopped = false;
   uint32_t mSlots = 0;
   TimePoint mOverloadLogged{};
-  AnswerNotice mNotice;      ///< Of the latest answer.
-  bool mHasAnswered = false; ///< Whether this instance has told by an answer.
-  std::optional<UpstreamNotice> mReturnedNotice;
   uint64_t mSentCount = 0;
   TimePoint mRateLogged{};
   uint64_t mSentAtRateLog = 0;
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -18,7 +18,6 @@
 // Part of the remaining time within which a caller comes back, if at all.
 constexpr double kReturnShare = 0.3;
 constexpr double kEarliestReturnShare = 0.1;
-constexpr double kThousandths = 1000;
 
 // Weight of one answer in what requests of its route need on the mean.
 constexpr double kNeedWeight = 0.1;
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -1,8 +1,6 @@
 #include "proxy/UpstreamSide.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 
 #include <fmt/format.h>
 
@@ -15,10 +13,8 @@
 
 constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kUserTimeout = seconds(2);
-constexpr double kThousandths = 1000;
 // Most memory of all incomplete responses. The smallest hosts have 160 MB.
 constexpr size_t kMaxResponseBytes = size_t(32) * 1024 * 1024;
-constexpr Duration kLogInterval = seconds(1);
 // Longest way between an entry node and this one.
 constexpr Duration kLateMargin = milliseconds(60);
 
@@ -61,22 +57,16 @@
                         const UpstreamReport& aReport,
                         bool aTakesWork)
 {
-  const bool changed = aReport.mInstance != mInstance ||
+  const auto notice = Notice();
+  const bool changed = aReport.mInstance != Instance() ||
                        aReport.mService != mService ||
-                       aTakesWork != TakesWork() || aReport.mSlots != mSlots;
-  if (aReport.mInstance != mInstance) {
-    // Under the same id, the limit holds until an answer tells.
-    mGate.Rate().Reset();
-    mPlan.SetRateLimit(std::nullopt);
-    mNotice = {};
-    mHasAnswered = false;
-  }
-  mInstance = aReport.mInstance;
-  mRunStartedMillis = aReport.mStartedMillis;
+                       aTakesWork != TakesWork() || aReport.mSlots != mSlots ||
+                       (notice && notice->mIsLeaving) == aTakesWork;
+  mNotices.SetRun(
+    aNow, mGate.Rate(), aReport.mInstance, aReport.mStartedMillis, !aTakesWork);
+  mPlan.SetRateLimit(RateLimit());
   mService = aReport.mService;
   mSlots = aReport.mSlots;
-  mIsLeaving = !aTakesWork;
-  ApplyReturnedNotice(aNow);
   mTakesWork = aTakesWork && !mStopped;
   mIsDown = false;
   mGate.SetSlots(mTakesWork ? mSlots : 0);
@@ -94,37 +84,8 @@
 void
 UpstreamSide::ReturnNotice(TimePoint aNow, const UpstreamNotice& aNotice)
 {
-  const bool isKnown =
-    mReturnedNotice && mReturnedNotice->mInstance == aNotice.mInstance;
-  if (!aNotice.mRequestsPerSecond ||
-      (isKnown &&
-       *mReturnedNotice->mRequestsPerSecond <= *aNotice.mRequestsPerSecond)) {
-    return;
-  }
-  mReturnedNotice = aNotice;
-  ApplyReturnedNotice(aNow);
-}
-
-void
-UpstreamSide::ApplyReturnedNotice(TimePoint aNow)
-{
-  if (mReturnedNotice && mReturnedNotice->mInstance == mInstance &&
-      !mHasAnswered) {
-    mGate.Rate().Answered(aNow, mReturnedNotice->mRequestsPerSecond);
-    mPlan.SetRateLimit(RateLimit());
-  }
-}
-
-std::optional<UpstreamNotice>
-UpstreamSide::Notice() const
-{
-  if (mInstance.empty() || (!mIsLeaving && !RateLimit())) {
-    return std::nullopt;
-  }
-  return UpstreamNotice{ .mInstance = mInstance,
-                         .mStartedMillis = mRunStartedMillis,
-                         .mIsLeaving = mIsLeaving,
-                         .mRequestsPerSecond = RateLimit() };
+  mNotices.Returned(aNow, mGate.Rate(), aNotice);
+  mPlan.SetRateLimit(RateLimit());
 }
 
 void
@@ -153,7 +114,7 @@
   mLogger.Write(EventLoop::Now(),
                 LogLevel::Warning,
                 "upstream-down",
-                { { "instance", mInstance }, { "reason", aReason } });
+                { { "instance", Instance() }, { "reason", aReason } });
   for (const ExecutionId it : mGate.RemoveAll()) {
     Refuse(it, AttemptReason::NotConnected);
   }
@@ -177,7 +138,7 @@
   mByRequest[attempt->mRequest.mRequestId] = id;
   const ForwardRequest& request = attempt->mRequest;
   AttemptReason reason = AttemptReason::None;
-  if (request.mInstance != mInstance || request.mService != mService) {
+  if (request.mInstance != Instance() || request.mService != mService) {
     reason = AttemptReason::OtherInstance;
   } else if (mIsDown) {
     reason = AttemptReason::NotConnected;
@@ -236,14 +197,14 @@
   const HeaderNames& names = mOptions.mHeaders;
   aAttempt.mIsRunning = true;
   aAttempt.mStarted = aNow;
-  aAttempt.mRunStartedMillis = mRunStartedMillis;
+  aAttempt.mRunStartedMillis = mNotices.StartedMillis();
   mPlan.Started(aNow, aAttempt.mRequest.mPriority, aNow - aAttempt.mArrived);
   HttpRequest http = aAttempt.mRequest.mHttp;
   const auto left = ToMillis(aAttempt.mDeadline - aNow);
   http.mHeaders.emplace_back(names.mRequestId, aAttempt.mRequest.mRequestId);
   http.mHeaders.emplace_back(names.mTimeLeft,
                              std::to_string(std::max<int64_t>(left, 1)));
-  http.mHeaders.emplace_back(names.mExpectedInstance, mInstance);
+  http.mHeaders.emplace_back(names.mExpectedInstance, Instance());
   http.mHeaders.emplace_back(names.mCallerService,
                              aAttempt.mRequest.mCallerService);
   ++mSentCount;
@@ -287,8 +248,9 @@
   ForwardReply reply =
     JudgeResponse(mOptions.mHeaders, aEnd, std::move(aResponse));
   const bool hasRun = reply.mOutcome == AttemptOutcome::Answered;
-  const bool isOfCurrentRun = attempt.mRequest.mInstance == mInstance &&
-                              attempt.mRunStartedMillis == mRunStartedMillis;
+  const bool isOfCurrentRun =
+    attempt.mRequest.mInstance == Instance() &&
+    attempt.mRunStartedMillis == mNotices.StartedMillis();
   const bool tellsOfUpstream =
     isOfCurrentRun &&
     (hasRun || reply.mReason == AttemptReason::UpstreamRefused);
@@ -305,7 +267,7 @@
     SetDown("another instance answers");
   }
   if (tellsOfUpstream && notice.mIsLeaving && mOnLeaving) {
-    mOnLeaving(mInstance, mRunStartedMillis);
+    mOnLeaving(Instance(), mNotices.StartedMillis());
   }
   Finish(aExecution, std::move(reply));
   StartNext(now);
@@ -316,26 +278,19 @@
                          const AnswerNotice& aNotice,
                          bool aHasRun)
 {
-  const auto& named = aNotice.mRequestsPerSecond;
-  // A limit that cannot be read does not end the one in force, and refusals may
-  // leave it out.
-  const bool tellsRate = named || (aHasRun && aNotice.mUnusable.empty());
-  mHasAnswered |= tellsRate;
-  const bool changed = tellsRate && mGate.Rate().Answered(aNow, named);
+  const bool isNew = mNotices.Answered(aNow, mGate.Rate(), aNotice, aHasRun);
   mPlan.SetRateLimit(RateLimit());
-  if (changed || aNotice.mIsLeaving != mNotice.mIsLeaving ||
-      aNotice.mUnusable != mNotice.mUnusable) {
+  if (isNew) {
     const auto rate = RateLimit();
     mLogger.Write(aNow,
                   LogLevel::Info,
                   "upstream-notice",
-                  { { "instance", mInstance },
+                  { { "instance", Instance() },
                     { "limit_per_s", rate ? fmt::format("{:.2f}", *rate) : "" },
                     { "leaving", aNotice.mIsLeaving ? "yes" : "no" },
                     { "unusable", aNotice.mUnusable },
                     { "sent", std::to_string(mSentCount) } });
   }
-  mNotice = aNotice;
 }
 
 void
@@ -395,7 +350,7 @@
       { { "request", attempt->mRequest.mRequestId },
         { "outcome", std::string(ToName(aReply.mOutcome)) },
         { "reason", std::string(ToName(aReply.mReason)) },
-        { "instance", mInstance },
+        { "instance", Instance() },
         { "running", std::to_string(mGate.Running()) },
         { "waiting", std::to_string(mGate.Waiting()) },
         { "limit", std::to_string(mGate.Limit()) },
@@ -507,64 +462,6 @@
   }
 }
 
-void
-UpstreamSide::LogRate(TimePoint aNow)
-{
-  if (aNow - mRateLogged < kLogInterval) {
-    return;
-  }
-  if (const auto rate = RateLimit()) {
-    mLogger.Write(aNow,
-                  LogLevel::Info,
-                  "upstream-limited",
-                  { { "instance", mInstance },
-                    { "limit_per_s", fmt::format("{:.2f}", *rate) },
-                    { "sent", std::to_string(mSentCount - mSentAtRateLog) },
-                    { "running", std::to_string(mGate.Running()) },
-                    { "waiting", std::to_string(mGate.Waiting()) } });
-  }
-  mRateLogged = aNow;
-  mSentAtRateLog = mSentCount;
-}
-
-void
-UpstreamSide::LogOverload(TimePoint aNow)
-{
-  if (aNow - mOverloadLogged < kLogInterval) {
-    return;
-  }
-  std::vector<LogField> fields{ { "instance", mInstance },
-                                { "running", std::to_string(mGate.Running()) },
-                                { "waiting", std::to_string(mGate.Waiting()) },
-                                { "limit", std::to_string(mGate.Limit()) } };
-  struct Names
-  {
-    std::string_view mShare;
-    std::string_view mDemand;
-    std::string_view mArriving;
-  };
-  constexpr std::array<Names, 3> kNames{ {
-    { "share_0", "demand_0", "arriving_0" },
-    { "share_1", "demand_1", "arriving_1" },
-    { "share_2", "demand_2", "arriving_2" },
-  } };
-  bool isOverloaded = false;
-  for (uint32_t priority = 0; priority < kNames.size(); ++priority) {
-    const Names& names = kNames[priority];
-    const TreeLoad load = mPlan.Load(aNow, priority);
-    isOverloaded |= load.mShare < 1;
-    fields.push_back({ names.mShare, fmt::format("{:.2f}", load.mShare) });
-    fields.push_back({ names.mDemand, fmt::format("{:.2f}", load.mDemand) });
-    fields.push_back(
-      { names.mArriving,
-        fmt::format("{:.1f}", mPlan.AdmittedDemand(aNow, priority)) });
-  }
-  if (isOverloaded) {
-    mOverloadLogged = aNow;
-    mLogger.Write(aNow, LogLevel::Info, "upstream-overloaded", fields);
-  }
-}
-
 const ForwardRequest*
 UpstreamSide::Find(const std::string& aRequestId) const
 {
@@ -572,57 +469,4 @@
   return it == mByRequest.end() ? nullptr : &mAttempts.at(it->second)->mRequest;
 }
 
-void
-UpstreamSide::NoteLoadBelow(TimePoint aNow,
-                            const CallKind& aParent,
-                            const TreeLoad& aLoad)
-{
-  mLoadsBelow[aParent].Note(aNow, aLoad);
-}
-
-TreeLoad
-UpstreamSide::LoadOf(TimePoint aNow, const CallKind& aKind)
-{
-  TreeLoad out = mPlan.Load(aNow, aKind.mPriority);
-  if (const auto it = mLoadsBelow.find(aKind); it != mLoadsBelow.end()) {
-    out = TreeLoad::MostRestrictive(out, it->second.Value(aNow));
-  }
-  out.mFailureRatio = mKinds.Find(aKind).mFailedShare;
-  return out;
-}
-
-GateLoad
-UpstreamSide::Load(TimePoint aNow, const ForwardRequest& aRequest)
-{
-  const CallKind kind = KindOf(aRequest);
-  const TreeLoad tree = LoadOf(aNow, kind);
-  const Duration wait =
-    mGate.EstimateWait(aNow, aRequest.mPriority, aRequest.mIsNested);
-  return { .mRunning = mGate.Running(),
-           .mWaiting = uint32_t(mGate.Waiting()),
-           .mLimit = mGate.UsableSlots(),
-           .mWaitMs = uint32_t(ToMillis(wait)),
-           .mRunMs = uint32_t(mKinds.Find(kind).mRunMillis),
-           .mShare = uint32_t(tree.mShare * kThousandths),
-           .mDemand = uint32_t(tree.mDemand * kThousandths),
-           .mFailed = uint32_t(tree.mFailureRatio * kThousandths) };
-}
-
-LoadReport
-UpstreamSide::Report(TimePoint aNow)
-{
-  LoadReport out;
-  for (const CallKind& kind : mFirstKinds) {
-    const TreeLoad load = LoadOf(aNow, kind);
-    if (load.NeedsReport()) {
-      out.mKinds.push_back(
-        { .mRoute = kind.mRoute,
-          .mShare = uint32_t(load.mShare * kThousandths),
-          .mDemand = uint32_t(load.mDemand * kThousandths),
-          .mFailed = uint32_t(load.mFailureRatio * kThousandths) });
-    }
-  }
-  return out;
-}
-
 } // namespace amaranthgap
--- a/libs/proxy/tests/UpstreamNoticeTest.cpp
+++ b/libs/proxy/tests/UpstreamNoticeTest.cpp
@@ -136,14 +136,23 @@
 // Guards against the loss of an announcement with the process that heard it.
 TEST_CASE("a leaving upstream is not in use again after a restart beside it")
 {
-  const bool isToldByReport = GENERATE(false, true);
-  INFO("told by " << (isToldByReport ? "report" : "answer"));
+  const std::string told = GENERATE("answer", "report", "report while down");
+  INFO("told by " << told);
   NoticeFleet fleet;
-  if (isToldByReport) {
-    fleet.Report(1, true);
-  } else {
-    fleet.At(1).mUpstream->SetBehaviour(Answering({ { "Test-Leaving", "1" } }));
+  FakeUpstream& upstream = *fleet.At(1).mUpstream;
+  if (told == "answer") {
+    upstream.SetBehaviour(Answering({ { "Test-Leaving", "1" } }));
     fleet.CallAndWait(0, "GET", "/logs/1", "first");
+  } else {
+    if (told == "report while down") {
+      upstream.SetBehaviour(
+        [](Connection& aConnection, const HttpRequest& aRequest) {
+          FakeUpstream::Respond(
+            aConnection, aRequest, 421, "", { { "Test-Not-Run", "1" } });
+        });
+      fleet.CallAndWait(0, "GET", "/logs/1", "first");
+    }
+    fleet.Report(1, true);
   }
   fleet.RunFor(milliseconds(100));
   const size_t before = fleet.Runs();
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -16,6 +16,9 @@
 // Messages between the node that a request enters and the node beside the
 // target. Short field lists: their bytes between regions are billed.
 
+/** Scale of the shares and ratios in these messages. */
+inline constexpr double kThousandths = 1000;
+
 /** What an upstream told of itself, by answers or reports. The nodes that it is
  * passed on to return it to the node beside the upstream when that restarts. */
 struct UpstreamNotice
