--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -50,8 +50,9 @@
   explicit HeartbeatTracker(std::string aAddress);
 
   ReportOutcome Offer(TimePoint aNow, const UpstreamReport& aReport);
-  /** Records that a run announced its end. The end also holds for reports of
-   * that run that arrive later: a node that has just started knows no run yet.
+  /** Records that a run announced its end, or tells in its answers that it
+   * leaves. This also holds for reports of that run that arrive later: a node
+   * that has just started knows no run yet.
    * @param aStartedMillis start of the run; 0 if unknown.
    * @return whether it is the current run. */
   bool Ended(TimePoint aNow,
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -58,12 +58,14 @@
                         bool aTakesWork)
 {
   const auto notice = Notice();
+  const bool wasLeaving = notice && notice->mIsLeaving;
+  const bool isLeaving = !aTakesWork;
   const bool changed = aReport.mInstance != Instance() ||
                        aReport.mService != mService ||
                        aTakesWork != TakesWork() || aReport.mSlots != mSlots ||
-                       (notice && notice->mIsLeaving) == aTakesWork;
+                       isLeaving != wasLeaving;
   mNotices.SetRun(
-    aNow, mGate.Rate(), aReport.mInstance, aReport.mStartedMillis, !aTakesWork);
+    aNow, mGate.Rate(), aReport.mInstance, aReport.mStartedMillis, isLeaving);
   mPlan.SetRateLimit(RateLimit());
   mService = aReport.mService;
   mSlots = aReport.mSlots;
