--- a/libs/proxy/tests/UpstreamNoticeTest.cpp
+++ b/libs/proxy/tests/UpstreamNoticeTest.cpp
@@ -115,7 +115,7 @@
 
 // Guards against new work for an upstream that tells of its end in answers
 // only.
-TEST_CASE("an upstream that leaves by its answers gets no more work")
+TEST_CASE("an upstream whose answers say that it leaves gets no more work")
 {
   NoticeFleet fleet;
   fleet.At(1).mUpstream->SetBehaviour(Answering({ { "Test-Leaving", "1" } }));
