Log and count crashes of the upstream and what was in flight at them

A node beside an upstream saw broken connections only: 'attempt-ended' with connection-lost reads the same for a reset, a truncated answer and a process that has ended, so the hypotheses of the incident could not be told apart.

'upstream-crashed' and 'in-flight-at-crash' name the requests, their routes and the fingerprints of their contents; the metric upstream_crashes_total counts.

--- /dev/null
+++ b/libs/proxy/include/proxy/CrashDetector.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/EnumNames.h"
+#include "base/Time.h"
+#include "net/TcpStream.h"
+
+namespace amaranthgap {
+
+class EventLoop;
+
+/** What showed that the upstream has crashed. */
+enum class CrashSign : uint8_t
+{
+  Refused,   ///< It refuses connections after having lost some.
+  Restarted, ///< Another run reports itself, and the former did not leave.
+};
+
+template<>
+struct EnumNames<CrashSign>
+{
+  static constexpr std::array kNames{
+    std::pair{ CrashSign::Refused, std::string_view{ "refused" } },
+    std::pair{ CrashSign::Restarted, std::string_view{ "restarted" } },
+  };
+};
+
+/** Request that was in flight at a crash of the upstream. */
+struct CrashedRun
+{
+  std::string mRequestId;
+  std::string mRoute;
+  uint64_t mFingerprint = 0;
+  Duration mRunTime{};
+};
+
+/** Tells a crash of the upstream from a lost connection: after a loss it
+ * connects once more; a refusal means that the process has ended. Keeps the
+ * requests whose runs ended shortly before without an answer. Not thread-safe.
+ */
+class CrashDetector
+{
+public:
+  /** @param aOnRefused called when the upstream refuses a connection after a
+   * loss. */
+  CrashDetector(EventLoop& aLoop,
+                std::string aAddress,
+                std::function<void(TimePoint)> aOnRefused);
+
+  /** Records that a run ended without an answer. */
+  void RunLost(TimePoint aNow, CrashedRun aRun);
+  /** @return the runs lost of late, which are forgotten. */
+  std::vector<CrashedRun> TakeLostRuns(TimePoint aNow);
+  /** Connects to the upstream if that is due. */
+  void Tick(TimePoint aNow);
+
+private:
+  struct LostRun
+  {
+    TimePoint mTime{};
+    CrashedRun mRun;
+  };
+
+  [[nodiscard]] static bool IsOutdated(TimePoint aNow, const LostRun& aRun);
+  void EndProbe();
+
+  EventLoop& mLoop;
+  std::string mAddress;
+  std::function<void(TimePoint)> mOnRefused;
+  std::deque<LostRun> mLostRuns; ///< In order of time.
+  bool mNeedsProbe = false;      ///< A run was lost since the latest probe.
+  std::unique_ptr<TcpStream> mProbe;
+  TimePoint mProbeStart{};
+};
+
+} // namespace amaranthgap
--- a/libs/proxy/include/proxy/ProxyMetrics.h
+++ b/libs/proxy/include/proxy/ProxyMetrics.h
@@ -14,7 +14,8 @@
   ForwarderCounts mCounts; ///< Since the start of the process.
   uint64_t mInFlight = 0;
   uint64_t mUpstreamInFlight = 0;
-  uint64_t mUpstreamSent = 0; ///< Attempts sent to the upstream.
+  uint64_t mUpstreamSent = 0;    ///< Attempts sent to the upstream.
+  uint64_t mUpstreamCrashes = 0; ///< With requests in flight.
   /** Requests per second that the upstream takes; no limit if empty. */
   std::optional<double> mUpstreamRateLimit;
   uint64_t mResponseBytes = 0; ///< Of incomplete responses.
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -18,6 +18,7 @@
 #include "http/ClientConnection.h"
 #include "net/EventLoop.h"
 #include "proxy/Binding.h"
+#include "proxy/CrashDetector.h"
 #include "wire/ForwardMessages.h"
 
 namespace amaranthgap {
@@ -92,6 +93,8 @@
   {
     return mGate.Rate().PerSecond();
   }
+  /** @return how often the upstream has crashed. */
+  [[nodiscard]] uint64_t CrashCount() const { return mCrashCount; }
   /** Called when an answer says that the upstream leaves. Takes the instance
    * and the start of its run. */
   void OnLeaving(std::function<void(const std::string&, int64_t)> aCallback)
@@ -130,6 +133,13 @@
   void Refuse(ExecutionId aExecution, AttemptReason aReason);
   void Finish(ExecutionId aExecution, ForwardReply aReply);
   void SetDown(const char* aReason);
+  /** Notes a run that ended without an answer. */
+  void NoteLostRun(TimePoint aNow, const Attempt& aAttempt);
+  [[nodiscard]] static CrashedRun CrashedRunOf(TimePoint aNow,
+                                               const Attempt& aAttempt);
+  /** @return what was in flight when the upstream crashed. */
+  std::vector<CrashedRun> TakeCrashedRuns(TimePoint aNow, CrashSign aSign);
+  void Crashed(TimePoint aNow, CrashSign aSign);
   std::unique_ptr<ClientConnection> TakeConnection(TimePoint aNow);
   /** Logs what the upstream cannot take, once a second. */
   void LogOverload(TimePoint aNow);
@@ -149,6 +159,8 @@
   CapacityPlan mPlan;
   std::string mService;
   NoticeTracker mNotices;
+  CrashDetector mCrashDetector;
+  uint64_t mCrashCount = 0;
   bool mTakesWork = false;
   bool mIsDown = false; ///< Seen by its connections, until its next report.
   bool mStopped = false;
--- a/libs/proxy/src/ProxyMetrics.cpp
+++ b/libs/proxy/src/ProxyMetrics.cpp
@@ -26,6 +26,7 @@
   add("in_flight", "gauge", aMetrics.mInFlight);
   add("upstream_in_flight", "gauge", aMetrics.mUpstreamInFlight);
   add("upstream_sent_total", "counter", aMetrics.mUpstreamSent);
+  add("upstream_crashes_total", "counter", aMetrics.mUpstreamCrashes);
   if (aMetrics.mUpstreamRateLimit) {
     out += fmt::format("# TYPE amaranthgap_upstream_rate_limit gauge\n"
                        "amaranthgap_upstream_rate_limit {:.3f}\n",
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -326,6 +326,7 @@
                          .mInFlight = mForwarder.InFlight(),
                          .mUpstreamInFlight = mUpstream.InFlight(),
                          .mUpstreamSent = mUpstream.SentCount(),
+                         .mUpstreamCrashes = mUpstream.CrashCount(),
                          .mUpstreamRateLimit = mUpstream.RateLimit(),
                          .mResponseBytes = mUpstream.ResponseBytes(),
                          .mCallerConnections = mCallers.Connections(),
--- /dev/null
+++ b/libs/proxy/src/UpstreamAttempt.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "proxy/UpstreamSide.h"
+
+namespace amaranthgap {
+
+/** One attempt, waiting at the gate or running. */
+struct UpstreamSide::Attempt
+{
+  ExecutionId mId;
+  ForwardRequest mRequest;
+  TimePoint mDeadline;
+  TimePoint mArrived{};
+  TimePoint mStarted{};
+  int64_t mRunStartedMillis = 0; ///< Of the upstream that it was sent to.
+  bool mIsRunning = false;
+  bool mIsCancelled = false; ///< Goes on without anyone who waits for it.
+  bool mIsCrashed = false;   ///< Counted as in flight at a crash.
+  uint64_t mFingerprint = 0;
+  std::multimap<TimePoint, ExecutionId>::iterator mByDeadline;
+  std::unique_ptr<ClientConnection> mConnection;
+  Done mDone;
+};
+
+} // namespace amaranthgap
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -1,4 +1,4 @@
-#include "proxy/UpstreamSide.h"
+#include "UpstreamAttempt.h"
 
 #include <algorithm>
 
@@ -6,6 +6,7 @@
 
 #include "http/HttpHeaders.h"
 #include "proxy/ResponseJudge.h"
+#include "quarantine/CrashCorrelator.h"
 
 namespace amaranthgap {
 
@@ -26,27 +27,14 @@
 
 } // namespace
 
-/** One attempt, waiting at the gate or running. */
-struct UpstreamSide::Attempt
-{
-  ExecutionId mId;
-  ForwardRequest mRequest;
-  TimePoint mDeadline;
-  TimePoint mArrived{};
-  TimePoint mStarted{};
-  int64_t mRunStartedMillis = 0; ///< Of the upstream that it was sent to.
-  bool mIsRunning = false;
-  bool mIsCancelled = false; ///< Goes on without anyone who waits for it.
-  std::multimap<TimePoint, ExecutionId>::iterator mByDeadline;
-  std::unique_ptr<ClientConnection> mConnection;
-  Done mDone;
-};
-
 UpstreamSide::UpstreamSide(EventLoop& aLoop, Logger& aLogger, Options aOptions)
   : mLoop(aLoop)
   , mLogger(aLogger)
   , mOptions(std::move(aOptions))
   , mGate(UpstreamLimiter::Options{})
+  , mCrashDetector(mLoop, mOptions.mAddress, [this](TimePoint aNow) {
+    Crashed(aNow, CrashSign::Refused);
+  })
 {
 }
 
@@ -57,6 +45,11 @@
                         const UpstreamReport& aReport,
                         bool aTakesWork)
 {
+  const bool isOtherRun = aReport.mInstance != Instance() ||
+                          aReport.mStartedMillis != mNotices.StartedMillis();
+  if (isOtherRun && !Instance().empty()) {
+    Crashed(aNow, CrashSign::Restarted);
+  }
   const auto notice = Notice();
   const bool wasLeaving = notice && notice->mIsLeaving;
   const bool isLeaving = !aTakesWork;
@@ -135,6 +128,9 @@
   attempt->mArrived = aNow;
   attempt->mDeadline = aNow + milliseconds(aRequest.mTimeLeftMs);
   attempt->mRequest = std::move(aRequest);
+  attempt->mFingerprint = FingerprintOf(attempt->mRequest.mService,
+                                        attempt->mRequest.mCallerService,
+                                        attempt->mRequest.mHttp);
   attempt->mDone = std::move(aDone);
   attempt->mByDeadline = mByDeadline.emplace(attempt->mDeadline, id);
   mByRequest[attempt->mRequest.mRequestId] = id;
@@ -263,6 +259,9 @@
     mIdle.push_back(std::move(attempt.mConnection));
   }
   FreeSlot(now, attempt, EndOf(reply));
+  if (aEnd == ExchangeEnd::Lost || aEnd == ExchangeEnd::Invalid) {
+    NoteLostRun(now, attempt);
+  }
   if (reply.mReason == AttemptReason::NotConnected) {
     SetDown("connection refused");
   } else if (reply.mReason == AttemptReason::OtherInstance) {
@@ -387,6 +386,7 @@
   reply.mReason = AttemptReason::CallerGone;
   if (attempt.mIsRunning) {
     attempt.mConnection->Abort();
+    NoteLostRun(aNow, attempt);
     // Its entry node gives a request up a little before its time is over here.
     const bool isLate = aNow + kLateMargin >= attempt.mDeadline;
     FreeSlot(aNow, attempt, isLate ? RunEnd::Failed : RunEnd::Nothing);
@@ -411,6 +411,7 @@
     reply.mReason = AttemptReason::Expired;
     if (attempt.mIsRunning) {
       attempt.mConnection->Abort();
+      NoteLostRun(aNow, attempt);
       FreeSlot(aNow, attempt, RunEnd::Failed);
       reply.mOutcome = AttemptOutcome::MayHaveRun;
     } else {
@@ -418,6 +419,7 @@
     }
     Finish(id, std::move(reply));
   }
+  mCrashDetector.Tick(aNow);
   LimitResponses(aNow);
   std::erase_if(mIdle,
                 [&](const auto& aOne) { return !aOne->IsReusable(aNow); });
--- a/libs/proxy/tests/FakeUpstream.h
+++ b/libs/proxy/tests/FakeUpstream.h
@@ -27,20 +27,40 @@
   using Behaviour = std::function<void(Connection&, const HttpRequest&)>;
 
   FakeUpstream(EventLoop& aLoop, const std::string& aAddress)
-    : mListener(aLoop)
+    : mLoop(aLoop)
+    , mAddress(aAddress)
   {
-    const auto listening = mListener.Listen(
-      aAddress, {}, [this](std::unique_ptr<TcpStream> aStream) {
+    Start();
+    mBehaviour = [](Connection& aConnection, const HttpRequest& aRequest) {
+      Respond(aConnection, aRequest, 200, "served");
+    };
+  }
+
+  /** Listens, also again after Crash(). */
+  void Start()
+  {
+    mListener = std::make_unique<TcpListener>(mLoop);
+    const auto listening = mListener->Listen(
+      mAddress, {}, [this](std::unique_ptr<TcpStream> aStream) {
         Accept(std::move(aStream));
       });
     if (!listening) {
       throw std::runtime_error(listening.error().ToString());
     }
-    mBehaviour = [](Connection& aConnection, const HttpRequest& aRequest) {
-      Respond(aConnection, aRequest, 200, "served");
-    };
   }
 
+  /** Ends as a process does: resets its connections and takes no new ones. */
+  void Crash()
+  {
+    mListener.reset();
+    for (const auto& it : mConnections) {
+      if (std::exchange(it->mIsOpen, false)) {
+        it->mStream->Reset();
+      }
+    }
+  }
+  [[nodiscard]] bool IsRunning() const { return mListener != nullptr; }
+
   /** Answers as a sound upstream does. */
   static void Respond(Connection& aConnection,
                       const HttpRequest& aRequest,
@@ -86,6 +106,9 @@
           [this, &connection](std::string_view aData) {
             connection.mReader.Feed(aData);
             while (auto request = connection.mReader.Next()) {
+              if (!connection.mIsOpen) {
+                return; // This upstream has crashed.
+              }
               mRequests.push_back(request->mHttp);
               ++mRuns[std::string(
                 FindHeader(request->mHttp.mHeaders, "Test-Id"))];
@@ -96,7 +119,9 @@
           [&connection](StreamEnd) { connection.mIsOpen = false; } });
   }
 
-  TcpListener mListener;
+  EventLoop& mLoop;
+  std::string mAddress;
+  std::unique_ptr<TcpListener> mListener; ///< Null after Crash().
   Behaviour mBehaviour;
   std::vector<std::unique_ptr<Connection>> mConnections;
   std::vector<HttpRequest> mRequests;
--- a/libs/proxy/tests/ProxyFleet.h
+++ b/libs/proxy/tests/ProxyFleet.h
@@ -98,15 +98,23 @@
 
   /** Lets the upstream of a node report itself. */
   void Report(size_t aNode, bool aDraining, const std::string& aInstance = "i")
+  {
+    auto answer = StartReport(aNode, aDraining, aInstance);
+    REQUIRE(Until([&] { return answer->mIsDone; }));
+    REQUIRE(answer->mHttp.mStatus == 200);
+  }
+
+  /** As Report(), without waiting for the answer. */
+  std::shared_ptr<Answer> StartReport(size_t aNode,
+                                      bool aDraining,
+                                      const std::string& aInstance = "i")
   {
     Node& node = *mNodes[aNode];
     const std::string body = aInstance + std::to_string(aNode) + ' ' +
                              node.mService + ' ' + (aDraining ? "1" : "0") +
                              ' ' + std::to_string(++node.mSequence);
-    auto answer = Send(node.mHost + ":7503",
-                       { .mMethod = "POST", .mPath = "/", .mBody = body });
-    REQUIRE(Until([&] { return answer->mIsDone; }));
-    REQUIRE(answer->mHttp.mStatus == 200);
+    return Send(node.mHost + ":7503",
+                { .mMethod = "POST", .mPath = "/", .mBody = body });
   }
 
   /** @return the value of a metric of a node, without its common prefix. */
@@ -132,15 +140,16 @@
                                const std::string& aMethod,
                                const std::string& aPath,
                                const std::string& aId,
-                               int aTimeLeftMs = 3000)
+                               int aTimeLeftMs = 3000,
+                               const std::string& aBody = "")
   {
-    return Send(
-      mNodes[aNode]->mHost + ":7501",
-      { .mMethod = aMethod,
-        .mPath = aPath,
-        .mHeaders = { { "Host", "h" },
-                      { "Test-Id", aId },
-                      { "Test-Left", std::to_string(aTimeLeftMs) } } });
+    return Send(mNodes[aNode]->mHost + ":7501",
+                { .mMethod = aMethod,
+                  .mPath = aPath,
+                  .mHeaders = { { "Host", "h" },
+                                { "Test-Id", aId },
+                                { "Test-Left", std::to_string(aTimeLeftMs) } },
+                  .mBody = aBody });
   }
 
   HttpResponse CallAndWait(size_t aNode,
