--- a/libs/proxy/include/proxy/CrashDetector.h
+++ b/libs/proxy/include/proxy/CrashDetector.h
@@ -10,6 +10,7 @@
 #include "base/EnumNames.h"
 #include "base/Time.h"
 #include "net/TcpStream.h"
+#include "quarantine/CrashEvidence.h"
 
 namespace amaranthgap {
 
@@ -36,7 +37,7 @@
 {
   std::string mRequestId;
   std::string mRoute;
-  uint64_t mFingerprint = 0;
+  InFlightRequest mSuspect;
   Duration mRunTime{};
 };
 
--- /dev/null
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/Logger.h"
+#include "base/Rng.h"
+#include "quarantine/CrashEvidence.h"
+#include "wire/ForwardMessages.h"
+
+namespace amaranthgap {
+
+/** Keeps the evidence about requests that crash upstreams, and exchanges it
+ * with other nodes: all of it with the nodes of the same service, and what is
+ * quarantined with every node, so that a node that restarts gets it back from
+ * any other. Not thread-safe. */
+class CrashExchange
+{
+public:
+  /** Node at the other end of a connection. */
+  struct Peer
+  {
+    std::string_view mNode;
+    std::string_view mService;
+    std::string_view mRegion;
+  };
+
+  using PeerFilter = std::function<bool(const Peer&)>;
+  /** Sends a notice to each connected node that the filter selects. */
+  using Send = std::function<void(const CrashNotice&, const PeerFilter&)>;
+
+  struct Options
+  {
+    std::string mRegion;
+    std::string mService; ///< Of the upstream beside this node.
+    uint64_t mSeed = 1;
+  };
+
+  CrashExchange(Logger& aLogger, Options aOptions, Send aSend);
+
+  void SetService(const std::string& aService) { mOptions.mService = aService; }
+
+  [[nodiscard]] const CrashEvidence& Evidence() const { return mEvidence; }
+  /** @return the time for which such a request is refused; zero if it is not.
+   */
+  [[nodiscard]] Duration QuarantineLeft(TimePoint aNow,
+                                        const ForwardRequest& aRequest) const;
+  /** @return the number of crashes of the upstream beside this node. */
+  [[nodiscard]] uint64_t CrashCount() const { return mCrashCount; }
+
+  /** Takes a crash of the upstream beside this node. */
+  void Crashed(TimePoint aNow, const std::vector<InFlightRequest>& aInFlight);
+  /** Takes an answer of the upstream beside this node. */
+  void Completed(TimePoint aNow, const RequestFingerprints& aFingerprints);
+  /** Takes a notice of another node. */
+  void Received(TimePoint aNow, const Peer& aFrom, const CrashNotice& aNotice);
+  /** @return what a node that has just connected has to know. */
+  [[nodiscard]] std::vector<CrashNotice> NoticesFor(TimePoint aNow,
+                                                    const Peer& aPeer) const;
+  void Expire(TimePoint aNow) { mEvidence.Expire(aNow); }
+
+private:
+  /** Passes on what this node has learnt.
+   * @param aFromRegion where it comes from. */
+  void Tell(const CrashNotice& aNews, std::string_view aFromRegion);
+  /** Tells the nodes of other services what is, or was, quarantined. */
+  void TellOtherServices(const CrashNotice& aNews);
+  void Log(TimePoint aNow, const CrashNotice& aNews, std::string_view aSource);
+
+  Logger& mLogger;
+  Options mOptions;
+  Send mSend;
+  Rng mRng;
+  CrashEvidence mEvidence{ CrashEvidence::Options{} };
+  uint64_t mCrashCount = 0;
+};
+
+} // namespace amaranthgap
--- a/libs/proxy/include/proxy/Forwarder.h
+++ b/libs/proxy/include/proxy/Forwarder.h
@@ -28,6 +28,7 @@
   uint64_t mRefused = 0; ///< Not run.
   uint64_t mFailed = 0;  ///< May have run.
   uint64_t mThrottled = 0;
+  uint64_t mQuarantined = 0; ///< Known to crash upstreams.
   uint64_t mRetries = 0;
   uint64_t mRedirects = 0;
   uint64_t mCancelled = 0;
@@ -61,6 +62,9 @@
     /** @return the request that made this one, by the id of this one; null
      * unless that request runs on the upstream beside this node. */
     std::function<const ForwardRequest*(std::string_view)> mParent;
+    /** @return the time for which such a request is refused because it crashes
+     * the upstreams of its service; zero if it is not. */
+    std::function<Duration(TimePoint, const ForwardRequest&)> mQuarantineLeft;
     /** Takes what the targets of a nested request can take, by the kind of the
      * request that made it. */
     std::function<void(TimePoint, const CallKind&, const TreeLoad&)> mLoadBelow;
--- a/libs/proxy/include/proxy/PeerLinks.h
+++ b/libs/proxy/include/proxy/PeerLinks.h
@@ -12,6 +12,7 @@
 #include "forwarding/PeerNotices.h"
 #include "net/EventLoop.h"
 #include "net/TcpStream.h"
+#include "proxy/CrashExchange.h"
 #include "wire/ForwardMessages.h"
 #include "wire/FrameCodec.h"
 
@@ -39,6 +40,12 @@
     std::function<void(const std::vector<NodeAddress>&)> mNodes;
     /** Takes the name of the sending node. */
     std::function<void(const std::string&, const StoreNotice&)> mNotice;
+    std::function<void(const CrashExchange::Peer&, const CrashNotice&)>
+      mCrashes;
+    /** @return the notices of crashes to send to a node when it is connected.
+     */
+    std::function<std::vector<CrashNotice>(const CrashExchange::Peer&)>
+      mCrashNotices;
     /** @return the address of this node, sent on each new connection. */
     std::function<NodeAddress()> mSelf;
   };
@@ -63,6 +70,11 @@
   /** Asks one connected node for routes above a version. */
   void AskRoutes(const std::string& aNode, uint64_t aHave);
 
+  /** Sends a notice to the connected nodes that a function selects. */
+  void SendCrashes(const CrashNotice& aNotice,
+                   const CrashExchange::PeerFilter& aFilter);
+  [[nodiscard]] bool IsConnected(std::string_view aNode) const;
+
   /** Probes and reopens connections; to be called every 100 ms or so. */
   void Tick(TimePoint aNow);
 
@@ -112,7 +124,7 @@
   Events mEvents;
   uint64_t mLastCall = 0;
   PeerNotices mNotices;
-  std::map<std::string, std::unique_ptr<Link>> mLinks;
+  std::map<std::string, std::unique_ptr<Link>, std::less<>> mLinks;
   std::list<std::unique_ptr<SilentStream>> mSilent;
 };
 
--- a/libs/proxy/include/proxy/PeerServer.h
+++ b/libs/proxy/include/proxy/PeerServer.h
@@ -8,6 +8,7 @@
 #include "base/Logger.h"
 #include "net/EventLoop.h"
 #include "net/TcpStream.h"
+#include "proxy/CrashExchange.h"
 #include "wire/ForwardMessages.h"
 
 namespace amaranthgap {
@@ -32,6 +33,11 @@
     std::function<NodeList(const NodeAddress&)> mHello;
     /** Takes what the upstream beside this node told a peer earlier. */
     std::function<void(const NodeAddress&, const UpstreamNotice&)> mNotice;
+    std::function<void(const CrashExchange::Peer&, const CrashNotice&)>
+      mCrashes;
+    /** @return the notices of crashes to send to a node that has connected. */
+    std::function<std::vector<CrashNotice>(const CrashExchange::Peer&)>
+      mCrashNotices;
   };
 
   PeerServer(EventLoop& aLoop, Logger& aLogger, Events aEvents);
@@ -46,6 +52,9 @@
   void Notify(const StoreNotice& aNotice);
   /** Sends a list of nodes to the connected nodes of one data centre. */
   void TellNodes(const std::string& aDataCentre, const NodeList& aNodes);
+  /** Sends a notice to the connected nodes that a function selects. */
+  void SendCrashes(const CrashNotice& aNotice,
+                   const CrashExchange::PeerFilter& aFilter);
   [[nodiscard]] uint16_t Port() const { return mListener.Port(); }
 
 private:
--- a/libs/proxy/include/proxy/ProxyMetrics.h
+++ b/libs/proxy/include/proxy/ProxyMetrics.h
@@ -16,6 +16,9 @@
   uint64_t mUpstreamInFlight = 0;
   uint64_t mUpstreamSent = 0;    ///< Attempts sent to the upstream.
   uint64_t mUpstreamCrashes = 0; ///< With requests in flight.
+  /** Fingerprints of requests under suspicion of crashing upstreams. */
+  uint64_t mOnProbation = 0;
+  uint64_t mQuarantined = 0;
   /** Requests per second that the upstream takes; no limit if empty. */
   std::optional<double> mUpstreamRateLimit;
   uint64_t mResponseBytes = 0; ///< Of incomplete responses.
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -19,6 +19,7 @@
 #include "net/EventLoop.h"
 #include "proxy/Binding.h"
 #include "proxy/CrashDetector.h"
+#include "proxy/CrashExchange.h"
 #include "wire/ForwardMessages.h"
 
 namespace amaranthgap {
@@ -38,7 +39,11 @@
 
   using Done = std::function<void(ForwardReply)>;
 
-  UpstreamSide(EventLoop& aLoop, Logger& aLogger, Options aOptions);
+  /** @param aCrashes outlives this object. */
+  UpstreamSide(EventLoop& aLoop,
+               Logger& aLogger,
+               CrashExchange& aCrashes,
+               Options aOptions);
   ~UpstreamSide();
 
   /** Takes over the newest report.
@@ -93,8 +98,6 @@
   {
     return mGate.Rate().PerSecond();
   }
-  /** @return how often the upstream has crashed. */
-  [[nodiscard]] uint64_t CrashCount() const { return mCrashCount; }
   /** Called when an answer says that the upstream leaves. Takes the instance
    * and the start of its run. */
   void OnLeaving(std::function<void(const std::string&, int64_t)> aCallback)
@@ -140,6 +143,9 @@
   /** @return what was in flight when the upstream crashed. */
   std::vector<CrashedRun> TakeCrashedRuns(TimePoint aNow, CrashSign aSign);
   void Crashed(TimePoint aNow, CrashSign aSign);
+  /** @return why a request must not run now because of earlier crashes. */
+  [[nodiscard]] AttemptReason ReasonToHold(TimePoint aNow,
+                                           const Attempt& aAttempt) const;
   std::unique_ptr<ClientConnection> TakeConnection(TimePoint aNow);
   /** Logs what the upstream cannot take, once a second. */
   void LogOverload(TimePoint aNow);
@@ -154,13 +160,14 @@
 
   EventLoop& mLoop;
   Logger& mLogger;
+  CrashExchange& mCrashes;
   Options mOptions;
   UpstreamLimiter mGate;
   CapacityPlan mPlan;
   std::string mService;
   NoticeTracker mNotices;
   CrashDetector mCrashDetector;
-  uint64_t mCrashCount = 0;
+  uint32_t mTrialCount = 0; ///< Running attempts on probation.
   bool mTakesWork = false;
   bool mIsDown = false; ///< Seen by its connections, until its next report.
   bool mStopped = false;
--- /dev/null
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -0,0 +1,152 @@
+#include "proxy/CrashExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace amaranthgap {
+
+CrashExchange::CrashExchange(Logger& aLogger, Options aOptions, Send aSend)
+  : mLogger(aLogger)
+  , mOptions(std::move(aOptions))
+  , mSend(std::move(aSend))
+  , mRng(mOptions.mSeed)
+{
+}
+
+Duration
+CrashExchange::QuarantineLeft(TimePoint aNow,
+                              const ForwardRequest& aRequest) const
+{
+  if (mEvidence.IsEmpty()) {
+    return Duration::zero();
+  }
+  return mEvidence.QuarantineLeft(
+    aNow,
+    FingerprintsOf(aRequest.mService, aRequest.mCallerService, aRequest.mHttp));
+}
+
+void
+CrashExchange::Crashed(TimePoint aNow,
+                       const std::vector<InFlightRequest>& aInFlight)
+{
+  ++mCrashCount;
+  const uint64_t crash = mRng.Next() | 1; // 0 stands for no crash.
+  const CrashNotice news =
+    mEvidence.RecordCrash(aNow, mOptions.mService, crash, aInFlight);
+  Log(aNow, news, "crash");
+  Tell(news, {});
+}
+
+void
+CrashExchange::Completed(TimePoint aNow,
+                         const RequestFingerprints& aFingerprints)
+{
+  const CrashNotice news = mEvidence.RecordCompletion(aNow, aFingerprints);
+  Log(aNow, news, "completion");
+  Tell(news, {});
+}
+
+void
+CrashExchange::Received(TimePoint aNow,
+                        const Peer& aFrom,
+                        const CrashNotice& aNotice)
+{
+  const CrashNotice news = mEvidence.Merge(aNow, aNotice);
+  Log(aNow, news, aFrom.mNode);
+  // Nodes of other services keep what they are told, for nodes that restart.
+  if (news.mService == mOptions.mService) {
+    Tell(news, aFrom.mRegion);
+  }
+}
+
+void
+CrashExchange::Tell(const CrashNotice& aNews, std::string_view aFromRegion)
+{
+  // A node has connections to most nodes of its service in its region, and to
+  // a few in others, which pass suspects on. That is enough for requests that
+  // were in flight at one crash, of which there are many.
+  const bool isFromRegion = aFromRegion == mOptions.mRegion;
+  if (!aNews.mInFlight.empty() && !isFromRegion) {
+    const CrashNotice suspects{ .mService = aNews.mService,
+                                .mCrash = aNews.mCrash,
+                                .mInFlight = aNews.mInFlight };
+    mSend(suspects, [&](const Peer& aPeer) {
+      return aPeer.mService == aNews.mService &&
+             (aFromRegion.empty() || aPeer.mRegion == mOptions.mRegion);
+    });
+  }
+  if (!aNews.mRecords.empty()) {
+    const CrashNotice records{ .mService = aNews.mService,
+                               .mRecords = aNews.mRecords };
+    mSend(records,
+          [&](const Peer& aPeer) { return aPeer.mService == aNews.mService; });
+    TellOtherServices(aNews);
+  }
+}
+
+void
+CrashExchange::TellOtherServices(const CrashNotice& aNews)
+{
+  CrashNotice verdicts{ .mService = aNews.mService };
+  std::copy_if(aNews.mRecords.begin(),
+               aNews.mRecords.end(),
+               std::back_inserter(verdicts.mRecords),
+               [](const CrashRecord& aRecord) {
+                 return std::any_of(
+                   aRecord.mMarks.begin(),
+                   aRecord.mMarks.end(),
+                   [](const CrashMark& aMark) { return aMark.mIsTrial; });
+               });
+  if (!verdicts.IsEmpty()) {
+    mSend(verdicts,
+          [&](const Peer& aPeer) { return aPeer.mService != aNews.mService; });
+  }
+}
+
+std::vector<CrashNotice>
+CrashExchange::NoticesFor(TimePoint aNow, const Peer& aPeer) const
+{
+  std::vector<CrashNotice> out;
+  for (const std::string& service : mEvidence.Services()) {
+    const bool isOfPeer =
+      service == mOptions.mService && service == aPeer.mService;
+    CrashNotice notice = mEvidence.Snapshot(
+      aNow, service, isOfPeer ? Suspicion::Suspect : Suspicion::Quarantined);
+    if (!notice.IsEmpty()) {
+      out.push_back(std::move(notice));
+    }
+  }
+  return out;
+}
+
+void
+CrashExchange::Log(TimePoint aNow,
+                   const CrashNotice& aNews,
+                   std::string_view aSource)
+{
+  for (const CrashRecord& it : aNews.mRecords) {
+    const Suspicion state = mEvidence.StateOf(aNow, it.mFingerprint);
+    std::string crashes;
+    for (const CrashMark& mark : it.mMarks) {
+      crashes += fmt::format("{}{:08x}{}{}",
+                             crashes.empty() ? "" : ",",
+                             mark.mCrash >> 32,
+                             mark.mIsTrial ? "/trial" : "",
+                             mark.mIsCleared ? "/cleared" : "");
+    }
+    mLogger.Write(aNow,
+                  state == Suspicion::Quarantined ? LogLevel::Warning
+                                                  : LogLevel::Info,
+                  "request-suspicion",
+                  { { "fingerprint", fmt::format("{:016x}", it.mFingerprint) },
+                    { "service", aNews.mService },
+                    { "state", std::string(ToName(state)) },
+                    { "crashes", std::move(crashes) },
+                    { "for_s", std::to_string(it.mQuarantineMs / 1000) },
+                    { "source", std::string(aSource) } });
+  }
+}
+
+} // namespace amaranthgap
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -170,6 +170,10 @@
   request.mService = call.mService;
   mByDeadline.emplace(call.mDeadline, aHandle);
   mCalls.emplace(aHandle, std::move(owned));
+  if (mOutlets.mQuarantineLeft(aNow, request) > Duration::zero()) {
+    GiveUp(aNow, call, AttemptReason::Quarantined);
+    return;
+  }
   if (!Admit(aNow, call)) {
     ++mCounts.mThrottled;
     GiveUp(aNow, call, AttemptReason::Throttled);
@@ -379,8 +383,15 @@
   const FinalRefusal refusal = RefusalFor(aCall.mHistory.mMayHaveRun, aReason);
   (aCall.mHistory.mMayHaveRun ? mCounts.mFailed : mCounts.mRefused) += 1;
   HttpResponse response{ .mStatus = refusal.mStatus };
-  if (refusal.mSuggestsRetryAfter &&
-      aCall.mCallerDeadline != TimePoint::max()) {
+  if (aReason == AttemptReason::Quarantined) {
+    ++mCounts.mQuarantined;
+    if (const Duration left = mOutlets.mQuarantineLeft(aNow, aCall.mRequest);
+        !aCall.mHistory.mMayHaveRun && left > Duration::zero()) {
+      response.mHeaders.emplace_back("Retry-After",
+                                     fmt::format("{:.0f}", ToSeconds(left)));
+    }
+  } else if (refusal.mSuggestsRetryAfter &&
+             aCall.mCallerDeadline != TimePoint::max()) {
     const double left = ToSeconds(aCall.mCallerDeadline - aNow);
     const double after =
       left * mRng.Uniform(kEarliestReturnShare, kReturnShare);
--- a/libs/proxy/src/PeerLinks.cpp
+++ b/libs/proxy/src/PeerLinks.cpp
@@ -38,6 +38,16 @@
   TimePoint mReconnectAt{};
   Duration mPause{};
   PendingAttempts mPending;
+
+  [[nodiscard]] CrashExchange::Peer Peer() const
+  {
+    return { mPeer.mNode, mState.mService, mState.mRegion };
+  }
+  [[nodiscard]] bool TakesCrashNotices() const
+  {
+    return mIsConnected && mStream &&
+           mState.mLinkRevision >= uint8_t(LinkRevision::CrashNotices);
+  }
 };
 
 /** Connection without new attempts, which has been replaced. */
@@ -128,7 +138,9 @@
     { .mConnectTimeout = kConnectTimeout, .mUserTimeout = kUserTimeout },
     std::move(events));
   aLink.mStream->Write(
-    EncodeFrame(LinkHello{ mEvents.mSelf(), mNotices.Find(aNow, node) }));
+    EncodeFrame(LinkHello{ .mFrom = mEvents.mSelf(),
+                           .mNotice = mNotices.Find(aNow, node),
+                           .mLinkRevision = uint8_t(kLinkRevision) }));
 }
 
 void
@@ -171,7 +183,8 @@
     }
     // A node that started again may be connected before the store lists it.
     aLink.mPeer.mRun = std::max(aLink.mPeer.mRun, state->mRun);
-    if (!std::exchange(aLink.mIsConnected, true)) {
+    const bool isNew = !std::exchange(aLink.mIsConnected, true);
+    if (isNew) {
       aLink.mPause = Duration::zero();
       mLogger.Write(EventLoop::Now(),
                     LogLevel::Info,
@@ -182,6 +195,12 @@
       mNotices.Record(EventLoop::Now(), state->mNode, *state->mNotice);
     }
     aLink.mState = *state;
+    if (isNew && aLink.TakesCrashNotices()) {
+      // Ahead of the first request.
+      for (const CrashNotice& it : mEvents.mCrashNotices(aLink.Peer())) {
+        aLink.mStream->Write(EncodeFrame(it));
+      }
+    }
     mEvents.mState(*state);
   } else if (auto* reply = std::get_if<ForwardReply>(&aMessage)) {
     NoteReply(aLink.mPeer.mNode, *reply);
@@ -196,6 +215,8 @@
     mEvents.mNodes(nodes->mNodes);
   } else if (const auto* notice = std::get_if<StoreNotice>(&aMessage)) {
     mEvents.mNotice(aLink.mPeer.mNode, *notice);
+  } else if (const auto* crashes = std::get_if<CrashNotice>(&aMessage)) {
+    mEvents.mCrashes(aLink.Peer(), *crashes);
   }
 }
 
@@ -386,6 +407,24 @@
   }
 }
 
+void
+PeerLinks::SendCrashes(const CrashNotice& aNotice,
+                       const CrashExchange::PeerFilter& aFilter)
+{
+  for (const auto& [node, link] : mLinks) {
+    if (link->TakesCrashNotices() && aFilter(link->Peer())) {
+      link->mStream->Write(EncodeFrame(aNotice));
+    }
+  }
+}
+
+bool
+PeerLinks::IsConnected(std::string_view aNode) const
+{
+  const auto it = mLinks.find(aNode);
+  return it != mLinks.end() && it->second->mIsConnected;
+}
+
 // Silence after which a link is probed, and after which it is given up.
 PeerLinks::Silence
 PeerLinks::SilenceOf(const Link& aLink)
--- a/libs/proxy/src/PeerServer.cpp
+++ b/libs/proxy/src/PeerServer.cpp
@@ -46,7 +46,18 @@
   void Send(const LinkMessage& aMessage) { Write(EncodeFrame(aMessage)); }
   void Write(const std::string& aFrame) { mStream->Write(aFrame); }
   /** @return the data centre of the peer; empty before its first message. */
-  [[nodiscard]] const std::string& DataCentre() const { return mDataCentre; }
+  [[nodiscard]] const std::string& DataCentre() const
+  {
+    return mPeer.mDataCentre;
+  }
+  [[nodiscard]] CrashExchange::Peer Peer() const
+  {
+    return { mPeer.mNode, mPeer.mService, mPeer.mRegion };
+  }
+  [[nodiscard]] bool TakesCrashNotices() const
+  {
+    return mRevision >= uint8_t(LinkRevision::CrashNotices);
+  }
 
 private:
   void Received(std::string_view aData)
@@ -89,7 +100,8 @@
         Send(RoutesDocument{ std::move(document) });
       }
     } else if (const auto* hello = std::get_if<LinkHello>(&aMessage)) {
-      mDataCentre = hello->mFrom.mDataCentre;
+      mPeer = hello->mFrom;
+      mRevision = hello->mLinkRevision;
       if (hello->mNotice) {
         mServer.mEvents.mNotice(hello->mFrom, *hello->mNotice);
       }
@@ -97,6 +109,18 @@
           !nodes.mNodes.empty()) {
         Send(nodes);
       }
+      SendCrashNotices();
+    } else if (const auto* crashes = std::get_if<CrashNotice>(&aMessage)) {
+      mServer.mEvents.mCrashes(Peer(), *crashes);
+    }
+  }
+
+  void SendCrashNotices()
+  {
+    if (TakesCrashNotices()) {
+      for (const CrashNotice& it : mServer.mEvents.mCrashNotices(Peer())) {
+        Send(it);
+      }
     }
   }
 
@@ -126,7 +150,8 @@
   uint64_t mId;
   std::unique_ptr<TcpStream> mStream;
   FrameReader mReader;
-  std::string mDataCentre;
+  NodeAddress mPeer; ///< Empty before its first message.
+  uint8_t mRevision = 0;
   std::unordered_map<uint64_t, uint64_t> mRunning; ///< By call of the peer.
 };
 
@@ -197,6 +222,17 @@
   SendToAll(aNotice);
 }
 
+void
+PeerServer::SendCrashes(const CrashNotice& aNotice,
+                        const CrashExchange::PeerFilter& aFilter)
+{
+  for (const auto& [id, connection] : mConnections) {
+    if (connection->TakesCrashNotices() && aFilter(connection->Peer())) {
+      connection->Send(aNotice);
+    }
+  }
+}
+
 void
 PeerServer::TellNodes(const std::string& aDataCentre, const NodeList& aNodes)
 {
--- a/libs/proxy/src/ProxyMetrics.cpp
+++ b/libs/proxy/src/ProxyMetrics.cpp
@@ -20,6 +20,7 @@
   add("refused_total", "counter", counts.mRefused);
   add("failed_total", "counter", counts.mFailed);
   add("throttled_total", "counter", counts.mThrottled);
+  add("quarantine_refusals_total", "counter", counts.mQuarantined);
   add("retries_total", "counter", counts.mRetries);
   add("redirects_total", "counter", counts.mRedirects);
   add("cancelled_total", "counter", counts.mCancelled);
@@ -27,6 +28,8 @@
   add("upstream_in_flight", "gauge", aMetrics.mUpstreamInFlight);
   add("upstream_sent_total", "counter", aMetrics.mUpstreamSent);
   add("upstream_crashes_total", "counter", aMetrics.mUpstreamCrashes);
+  add("fingerprints_on_probation", "gauge", aMetrics.mOnProbation);
+  add("fingerprints_quarantined", "gauge", aMetrics.mQuarantined);
   if (aMetrics.mUpstreamRateLimit) {
     out += fmt::format("# TYPE amaranthgap_upstream_rate_limit gauge\n"
                        "amaranthgap_upstream_rate_limit {:.3f}\n",
--- a/libs/proxy/src/ProxyParts.h
+++ b/libs/proxy/src/ProxyParts.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "proxy/CallerSide.h"
+#include "proxy/CrashExchange.h"
 #include "proxy/Discovery.h"
 #include "proxy/Forwarder.h"
 #include "proxy/PeerLinks.h"
@@ -39,6 +40,9 @@
                 const std::string& aNode,
                 ForwardRequest aRequest,
                 std::function<void(ForwardReply)> aDone);
+  /** Sends a notice once to each connected node that a function selects. */
+  void SendCrashes(const CrashNotice& aNotice,
+                   const CrashExchange::PeerFilter& aFilter);
   void UpstreamChanged();
   /** Takes no more work for a run of the upstream that leaves. */
   void UpstreamLeaves(TimePoint aNow,
@@ -61,6 +65,7 @@
   Logger mLogger;
   TimePoint mStarted = EventLoop::Now();
   std::unique_ptr<LeasedStore> mStore;
+  CrashExchange mCrashes;
   UpstreamSide mUpstream;
   HeartbeatTracker mHeartbeats;
   Forwarder mForwarder;
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -55,8 +55,17 @@
               .mLinesPerSecond = mSettings.mLogLinesPerSecond,
               .mCollectsLines = true })
   , mStore(mBinding.mOpenStore(mLoop, mSettings.mStoreAddress))
+  , mCrashes(mLogger,
+             { .mRegion = mSettings.mRegion,
+               .mService = mSettings.mService,
+               .mSeed = mSeed + 4 },
+             [this](const CrashNotice& aNotice,
+                    const CrashExchange::PeerFilter& aFilter) {
+               SendCrashes(aNotice, aFilter);
+             })
   , mUpstream(mLoop,
               mLogger,
+              mCrashes,
               { .mAddress = mSettings.mUpstreamAddress,
                 .mHeaders = mBinding.mHeaders,
                 .mReadNotice = mBinding.mReadNotice })
@@ -93,6 +102,10 @@
           const auto parent = mBinding.mParentId(aRequestId);
           return parent.empty() ? nullptr : mUpstream.Find(std::string(parent));
         },
+        .mQuarantineLeft =
+          [this](TimePoint aNow, const ForwardRequest& aRequest) {
+            return mCrashes.QuarantineLeft(aNow, aRequest);
+          },
         .mLoadBelow =
           [this](TimePoint aNow,
                  const CallKind& aParent,
@@ -121,34 +134,43 @@
                       mReportSide.Answer(aHandle, AnswerUpstream(aRequest));
                     },
                   .mGone = [](RequestHandle) {} })
-  , mLinks(mLoop,
-           mLogger,
-           { .mState =
-               [this](const NodeState& aState) {
-                 PeerState(EventLoop::Now(), aState);
-               },
-             .mLost =
-               [this](const std::string& aNode) {
-                 mForwarder.Targets().RemoveNode(aNode);
-                 mDiscovery->PeerLost(EventLoop::Now(), aNode);
-               },
-             .mRoutes =
-               [this](const std::string& aDocument) {
-                 TakeRoutes(aDocument, "peer");
-               },
-             .mLoad =
-               [this](const std::string& aNode, const LoadReport& aReport) {
-                 mForwarder.LoadTold(EventLoop::Now(), aNode, aReport);
-               },
-             .mNodes =
-               [this](const std::vector<NodeAddress>& aNodes) {
-                 mDiscovery->PeerNodes(EventLoop::Now(), aNodes);
-               },
-             .mNotice =
-               [this](const std::string& aNode, const StoreNotice& aNotice) {
-                 mDiscovery->PeerNotice(EventLoop::Now(), aNode, aNotice);
-               },
-             .mSelf = [this] { return mDiscovery->Self(); } })
+  , mLinks(
+      mLoop,
+      mLogger,
+      { .mState =
+          [this](const NodeState& aState) {
+            PeerState(EventLoop::Now(), aState);
+          },
+        .mLost =
+          [this](const std::string& aNode) {
+            mForwarder.Targets().RemoveNode(aNode);
+            mDiscovery->PeerLost(EventLoop::Now(), aNode);
+          },
+        .mRoutes =
+          [this](const std::string& aDocument) {
+            TakeRoutes(aDocument, "peer");
+          },
+        .mLoad =
+          [this](const std::string& aNode, const LoadReport& aReport) {
+            mForwarder.LoadTold(EventLoop::Now(), aNode, aReport);
+          },
+        .mNodes =
+          [this](const std::vector<NodeAddress>& aNodes) {
+            mDiscovery->PeerNodes(EventLoop::Now(), aNodes);
+          },
+        .mNotice =
+          [this](const std::string& aNode, const StoreNotice& aNotice) {
+            mDiscovery->PeerNotice(EventLoop::Now(), aNode, aNotice);
+          },
+        .mCrashes =
+          [this](const CrashExchange::Peer& aPeer, const CrashNotice& aNotice) {
+            mCrashes.Received(EventLoop::Now(), aPeer, aNotice);
+          },
+        .mCrashNotices =
+          [this](const CrashExchange::Peer& aPeer) {
+            return mCrashes.NoticesFor(EventLoop::Now(), aPeer);
+          },
+        .mSelf = [this] { return mDiscovery->Self(); } })
   , mPeerServer(
       mLoop,
       mLogger,
@@ -175,6 +197,14 @@
         .mNotice =
           [this](const NodeAddress& aPeer, const UpstreamNotice& aNotice) {
             NoticeReturned(EventLoop::Now(), aPeer, aNotice);
+          },
+        .mCrashes =
+          [this](const CrashExchange::Peer& aPeer, const CrashNotice& aNotice) {
+            mCrashes.Received(EventLoop::Now(), aPeer, aNotice);
+          },
+        .mCrashNotices =
+          [this](const CrashExchange::Peer& aPeer) {
+            return mCrashes.NoticesFor(EventLoop::Now(), aPeer);
           } })
   , mTimer(mLoop)
   , mSlowTimer(mLoop)
@@ -231,7 +261,8 @@
            .mRoutesVersion = mRoutes ? mRoutes->Version() : 0,
            .mReachesStore = mDiscovery->ReachesStore(),
            .mWatchesStore = mDiscovery->IsWatching(),
-           .mNotice = mUpstream.Notice() };
+           .mNotice = mUpstream.Notice(),
+           .mLinkRevision = uint8_t(kLinkRevision) };
 }
 
 void
@@ -326,7 +357,11 @@
                          .mInFlight = mForwarder.InFlight(),
                          .mUpstreamInFlight = mUpstream.InFlight(),
                          .mUpstreamSent = mUpstream.SentCount(),
-                         .mUpstreamCrashes = mUpstream.CrashCount(),
+                         .mUpstreamCrashes = mCrashes.CrashCount(),
+                         .mOnProbation = mCrashes.Evidence().CountOf(
+                           EventLoop::Now(), Suspicion::Probation),
+                         .mQuarantined = mCrashes.Evidence().CountOf(
+                           EventLoop::Now(), Suspicion::Quarantined),
                          .mUpstreamRateLimit = mUpstream.RateLimit(),
                          .mResponseBytes = mUpstream.ResponseBytes(),
                          .mCallerConnections = mCallers.Connections(),
@@ -395,6 +430,7 @@
       mPeerServer.Report(report);
     }
   }
+  mCrashes.Expire(aNow);
   mLogger.Flush();
   mCallers.CloseOverdue(aNow);
   mReadySide.CloseOverdue(aNow);
--- a/libs/proxy/src/ProxyUpstream.cpp
+++ b/libs/proxy/src/ProxyUpstream.cpp
@@ -89,12 +89,23 @@
   mUpstream.ReturnNotice(aNow, aNotice);
 }
 
+void
+ProxyProcess::Parts::SendCrashes(const CrashNotice& aNotice,
+                                 const CrashExchange::PeerFilter& aFilter)
+{
+  mLinks.SendCrashes(aNotice, aFilter);
+  mPeerServer.SendCrashes(aNotice, [&](const CrashExchange::Peer& aPeer) {
+    return !mLinks.IsConnected(aPeer.mNode) && aFilter(aPeer);
+  });
+}
+
 void
 ProxyProcess::Parts::UpstreamChanged()
 {
   ++mRevision;
   if (!mUpstream.Service().empty()) {
     mDiscovery->SetService(mUpstream.Service());
+    mCrashes.SetService(mUpstream.Service());
   }
   const NodeState state = OwnState();
   mLogger.Write(EventLoop::Now(),
--- a/libs/proxy/src/UpstreamAttempt.h
+++ b/libs/proxy/src/UpstreamAttempt.h
@@ -16,7 +16,8 @@
   bool mIsRunning = false;
   bool mIsCancelled = false; ///< Goes on without anyone who waits for it.
   bool mIsCrashed = false;   ///< Counted as in flight at a crash.
-  uint64_t mFingerprint = 0;
+  RequestFingerprints mFingerprints;
+  bool mIsTrial = false; ///< Runs on probation.
   std::multimap<TimePoint, ExecutionId>::iterator mByDeadline;
   std::unique_ptr<ClientConnection> mConnection;
   Done mDone;
--- a/libs/proxy/src/UpstreamCrash.cpp
+++ b/libs/proxy/src/UpstreamCrash.cpp
@@ -19,7 +19,8 @@
 {
   return { .mRequestId = aAttempt.mRequest.mRequestId,
            .mRoute = aAttempt.mRequest.mRoute,
-           .mFingerprint = aAttempt.mFingerprint,
+           .mSuspect = { .mFingerprints = aAttempt.mFingerprints,
+                         .mIsTrial = aAttempt.mIsTrial },
            .mRunTime = aNow - aAttempt.mStarted };
 }
 
@@ -38,6 +39,24 @@
   return out;
 }
 
+AttemptReason
+UpstreamSide::ReasonToHold(TimePoint aNow, const Attempt& aAttempt) const
+{
+  switch (mCrashes.Evidence().StateOf(aNow, aAttempt.mFingerprints)) {
+    case Suspicion::Quarantined:
+      return AttemptReason::Quarantined;
+    case Suspicion::Probation:
+      // Its attempt before this one may have crashed an upstream just now.
+      if (aAttempt.mRequest.mIsRetry) {
+        return AttemptReason::Quarantined;
+      }
+      // Of two in flight, a crash would not tell which one caused it.
+      return mTrialCount > 0 ? AttemptReason::NoRoom : AttemptReason::None;
+    default:
+      return AttemptReason::None;
+  }
+}
+
 void
 UpstreamSide::Crashed(TimePoint aNow, CrashSign aSign)
 {
@@ -47,24 +66,29 @@
   if (runs.empty() || isPlanned) {
     return;
   }
-  ++mCrashCount;
   mLogger.Write(aNow,
                 LogLevel::Warning,
                 "upstream-crashed",
                 { { "instance", Instance() },
                   { "sign", std::string(ToName(aSign)) },
                   { "in_flight", std::to_string(runs.size()) },
-                  { "crashes", std::to_string(mCrashCount) } });
+                  { "crashes", std::to_string(mCrashes.CrashCount() + 1) } });
+  std::vector<InFlightRequest> suspects;
   for (const CrashedRun& it : runs) {
+    const RequestFingerprints& prints = it.mSuspect.mFingerprints;
+    suspects.push_back(it.mSuspect);
     mLogger.Write(aNow,
                   LogLevel::Info,
                   "in-flight-at-crash",
                   { { "request", it.mRequestId },
                     { "route", it.mRoute },
-                    { "fingerprint", fmt::format("{:016x}", it.mFingerprint) },
+                    { "content", fmt::format("{:016x}", prints.mOfContent) },
+                    { "caller", fmt::format("{:016x}", prints.mFromCaller) },
+                    { "trial", it.mSuspect.mIsTrial ? "yes" : "no" },
                     { "instance", Instance() },
                     { "run_ms", std::to_string(ToMillis(it.mRunTime)) } });
   }
+  mCrashes.Crashed(aNow, suspects);
   if (aSign == CrashSign::Refused) {
     SetDown("crashed");
   }
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -6,7 +6,6 @@
 
 #include "http/HttpHeaders.h"
 #include "proxy/ResponseJudge.h"
-#include "quarantine/CrashCorrelator.h"
 
 namespace amaranthgap {
 
@@ -27,9 +26,13 @@
 
 } // namespace
 
-UpstreamSide::UpstreamSide(EventLoop& aLoop, Logger& aLogger, Options aOptions)
+UpstreamSide::UpstreamSide(EventLoop& aLoop,
+                           Logger& aLogger,
+                           CrashExchange& aCrashes,
+                           Options aOptions)
   : mLoop(aLoop)
   , mLogger(aLogger)
+  , mCrashes(aCrashes)
   , mOptions(std::move(aOptions))
   , mGate(UpstreamLimiter::Options{})
   , mCrashDetector(mLoop, mOptions.mAddress, [this](TimePoint aNow) {
@@ -128,9 +131,9 @@
   attempt->mArrived = aNow;
   attempt->mDeadline = aNow + milliseconds(aRequest.mTimeLeftMs);
   attempt->mRequest = std::move(aRequest);
-  attempt->mFingerprint = FingerprintOf(attempt->mRequest.mService,
-                                        attempt->mRequest.mCallerService,
-                                        attempt->mRequest.mHttp);
+  attempt->mFingerprints = FingerprintsOf(attempt->mRequest.mService,
+                                          attempt->mRequest.mCallerService,
+                                          attempt->mRequest.mHttp);
   attempt->mDone = std::move(aDone);
   attempt->mByDeadline = mByDeadline.emplace(attempt->mDeadline, id);
   mByRequest[attempt->mRequest.mRequestId] = id;
@@ -144,6 +147,8 @@
     reason = AttemptReason::Leaving;
   } else if (attempt->mDeadline <= aNow) {
     reason = AttemptReason::Expired;
+  } else {
+    reason = ReasonToHold(aNow, *attempt);
   }
   if (reason != AttemptReason::None) {
     mLoop.Defer([this, id, reason] { Refuse(id, reason); });
@@ -194,6 +199,9 @@
   const ExecutionId id = aAttempt.mId;
   const HeaderNames& names = mOptions.mHeaders;
   aAttempt.mIsRunning = true;
+  aAttempt.mIsTrial = mCrashes.Evidence().StateOf(
+                        aNow, aAttempt.mFingerprints) == Suspicion::Probation;
+  mTrialCount += aAttempt.mIsTrial ? 1 : 0;
   aAttempt.mStarted = aNow;
   aAttempt.mRunStartedMillis = mNotices.StartedMillis();
   mPlan.Started(aNow, aAttempt.mRequest.mPriority, aNow - aAttempt.mArrived);
@@ -259,7 +267,9 @@
     mIdle.push_back(std::move(attempt.mConnection));
   }
   FreeSlot(now, attempt, EndOf(reply));
-  if (aEnd == ExchangeEnd::Lost || aEnd == ExchangeEnd::Invalid) {
+  if (hasRun) {
+    mCrashes.Completed(now, attempt.mFingerprints);
+  } else if (aEnd == ExchangeEnd::Lost || aEnd == ExchangeEnd::Invalid) {
     NoteLostRun(now, attempt);
   }
   if (reply.mReason == AttemptReason::NotConnected) {
@@ -298,6 +308,7 @@
 UpstreamSide::FreeSlot(TimePoint aNow, Attempt& aAttempt, RunEnd aEnd)
 {
   aAttempt.mIsRunning = false;
+  mTrialCount -= aAttempt.mIsTrial ? 1 : 0;
   const Duration run = aNow - aAttempt.mStarted;
   const Duration told = aEnd == RunEnd::Good ? run : Duration::zero();
   mGate.Finished(told);
@@ -311,10 +322,15 @@
 UpstreamSide::StartNext(TimePoint aNow)
 {
   while (const auto next = mGate.StartNextQueued(aNow)) {
-    if (const auto it = mAttempts.find(*next); it != mAttempts.end()) {
+    const auto it = mAttempts.find(*next);
+    const AttemptReason reason = it == mAttempts.end()
+                                   ? AttemptReason::CallerGone
+                                   : ReasonToHold(aNow, *it->second);
+    if (reason == AttemptReason::None) {
       Start(aNow, *it->second);
     } else {
       mGate.Finished(Duration::zero());
+      Refuse(*next, reason);
     }
   }
 }
--- /dev/null
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -0,0 +1,388 @@
+#include "quarantine/CrashEvidence.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "base/Hash.h"
+#include "quarantine/CrashCorrelator.h"
+
+namespace amaranthgap {
+
+namespace {
+
+// Uncleared crashes from which on a request runs on probation.
+constexpr size_t kCrashesToProbation = 2;
+constexpr size_t kMaxMarks = 8;
+// Most entries of a snapshot, which is sent on each new connection.
+constexpr size_t kMaxSnapshotEntries = 512;
+
+size_t
+UnclearedCount(const std::vector<CrashMark>& aMarks)
+{
+  return size_t(
+    std::count_if(aMarks.begin(), aMarks.end(), [](const CrashMark& aMark) {
+      return !aMark.mIsCleared;
+    }));
+}
+
+bool
+HasFailedTrial(const std::vector<CrashMark>& aMarks)
+{
+  return std::any_of(aMarks.begin(), aMarks.end(), [](const CrashMark& aMark) {
+    return aMark.mIsTrial && !aMark.mIsCleared;
+  });
+}
+
+template<class Marks>
+auto
+FindMark(Marks& aMarks, uint64_t aCrash)
+{
+  return std::find_if(
+    aMarks.begin(), aMarks.end(), [&](const CrashMark& aMark) {
+      return aMark.mCrash == aCrash;
+    });
+}
+
+} // namespace
+
+RequestFingerprints
+FingerprintsOf(const std::string& aService,
+               const std::string& aCallerService,
+               const HttpRequest& aHttp)
+{
+  const uint64_t content = FingerprintOf(aService, "", aHttp);
+  return { .mOfContent = content,
+           .mFromCaller = Hash64(aCallerService, content) };
+}
+
+void
+CrashEvidence::RecentCompletions::Rotate(TimePoint aNow)
+{
+  mEarlier = std::move(mPresent);
+  mPresent.clear();
+  mPresentSince = aNow;
+}
+
+void
+CrashEvidence::RecentCompletions::Expire(TimePoint aNow,
+                                         const Options& aOptions)
+{
+  if (aNow - mPresentSince >= aOptions.mRecentCompletion / 2) {
+    Rotate(aNow);
+  }
+}
+
+void
+CrashEvidence::RecentCompletions::Add(TimePoint aNow,
+                                      uint64_t aFingerprint,
+                                      const Options& aOptions)
+{
+  if (mPresent.size() >= aOptions.mMaxRecentCompletions / 2) {
+    Rotate(aNow);
+  }
+  mPresent.insert(aFingerprint);
+}
+
+bool
+CrashEvidence::RecentCompletions::Contains(uint64_t aFingerprint) const
+{
+  return mPresent.contains(aFingerprint) || mEarlier.contains(aFingerprint);
+}
+
+CrashEvidence::CrashEvidence(const Options& aOptions)
+  : mOptions(aOptions)
+{
+}
+
+Suspicion
+CrashEvidence::StateOf(TimePoint aNow, const Entry& aEntry)
+{
+  const bool hasFailedTrial = HasFailedTrial(aEntry.mMarks);
+  if (hasFailedTrial && aNow < aEntry.mQuarantineEnd) {
+    return Suspicion::Quarantined;
+  }
+  const size_t count = UnclearedCount(aEntry.mMarks);
+  if (hasFailedTrial || count >= kCrashesToProbation) {
+    return Suspicion::Probation;
+  }
+  return count > 0 ? Suspicion::Suspect : Suspicion::Clear;
+}
+
+Suspicion
+CrashEvidence::StateOf(TimePoint aNow, uint64_t aFingerprint) const
+{
+  const auto it = mEntries.find(aFingerprint);
+  return it == mEntries.end() ? Suspicion::Clear : StateOf(aNow, it->second);
+}
+
+Suspicion
+CrashEvidence::StateOf(TimePoint aNow,
+                       const RequestFingerprints& aFingerprints) const
+{
+  return std::max(StateOf(aNow, aFingerprints.mOfContent),
+                  StateOf(aNow, aFingerprints.mFromCaller));
+}
+
+Duration
+CrashEvidence::QuarantineLeft(TimePoint aNow,
+                              const RequestFingerprints& aFingerprints) const
+{
+  Duration out{};
+  for (const uint64_t fingerprint :
+       { aFingerprints.mOfContent, aFingerprints.mFromCaller }) {
+    if (const auto it = mEntries.find(fingerprint);
+        it != mEntries.end() &&
+        StateOf(aNow, it->second) == Suspicion::Quarantined) {
+      out = std::max(out, it->second.mQuarantineEnd - aNow);
+    }
+  }
+  return out;
+}
+
+CrashRecord
+CrashEvidence::RecordOf(TimePoint aNow,
+                        uint64_t aFingerprint,
+                        const Entry& aEntry)
+{
+  CrashRecord out{ .mFingerprint = aFingerprint, .mMarks = aEntry.mMarks };
+  if (StateOf(aNow, aEntry) == Suspicion::Quarantined) {
+    out.mQuarantineMs = uint32_t(ToMillis(aEntry.mQuarantineEnd - aNow));
+  }
+  return out;
+}
+
+CrashEvidence::Entry&
+CrashEvidence::FindOrAdd(TimePoint aNow,
+                         const std::string& aService,
+                         uint64_t aFingerprint)
+{
+  if (const auto it = mEntries.find(aFingerprint); it != mEntries.end()) {
+    return it->second;
+  }
+  EvictIfFull(aNow);
+  Entry& out = mEntries[aFingerprint];
+  out.mService = aService;
+  out.mLatest = aNow;
+  return out;
+}
+
+bool
+CrashEvidence::AddMark(TimePoint aNow, Entry& aEntry, const CrashMark& aMark)
+{
+  auto& marks = aEntry.mMarks;
+  if (const auto it = FindMark(marks, aMark.mCrash); it != marks.end()) {
+    const CrashMark before = *it;
+    it->mIsTrial |= aMark.mIsTrial;
+    it->mIsCleared |= aMark.mIsCleared;
+    return it->mIsTrial != before.mIsTrial ||
+           it->mIsCleared != before.mIsCleared;
+  }
+  if (marks.size() >= kMaxMarks) {
+    // A cleared mark counts no more; of the others, enough remain.
+    const auto cleared =
+      std::find_if(marks.begin(), marks.end(), [](const CrashMark& aOther) {
+        return aOther.mIsCleared;
+      });
+    if (cleared == marks.end() && !aMark.mIsTrial) {
+      return false;
+    }
+    marks.erase(cleared == marks.end() ? marks.begin() : cleared);
+  }
+  marks.push_back(aMark);
+  aEntry.mLatest = std::max(aEntry.mLatest, aNow);
+  return true;
+}
+
+CrashNotice
+CrashEvidence::RecordCrash(TimePoint aNow,
+                           const std::string& aService,
+                           uint64_t aCrash,
+                           const std::vector<InFlightRequest>& aInFlight)
+{
+  std::map<uint64_t, bool> isTrial; // By fingerprint.
+  for (const InFlightRequest& it : aInFlight) {
+    for (const uint64_t fingerprint :
+         { it.mFingerprints.mOfContent, it.mFingerprints.mFromCaller }) {
+      isTrial[fingerprint] |= it.mIsTrial;
+    }
+  }
+  CrashNotice out{ .mService = aService, .mCrash = aCrash };
+  for (const auto& [fingerprint, wasTrial] : isTrial) {
+    if (mRecent.Contains(fingerprint)) {
+      continue;
+    }
+    Entry& entry = FindOrAdd(aNow, aService, fingerprint);
+    // Of the two fingerprints of a run, only the one on probation was tried.
+    const bool failed =
+      wasTrial && StateOf(aNow, entry) >= Suspicion::Probation;
+    AddMark(aNow, entry, { .mCrash = aCrash, .mIsTrial = failed });
+    if (failed) {
+      entry.mQuarantineEnd = aNow + mOptions.mQuarantine;
+      entry.mLatest = entry.mQuarantineEnd;
+    }
+    if (StateOf(aNow, entry) >= Suspicion::Probation) {
+      out.mRecords.push_back(RecordOf(aNow, fingerprint, entry));
+    } else {
+      out.mInFlight.push_back(fingerprint);
+    }
+  }
+  return out;
+}
+
+CrashNotice
+CrashEvidence::RecordCompletion(TimePoint aNow,
+                                const RequestFingerprints& aFingerprints)
+{
+  CrashNotice out;
+  for (const uint64_t fingerprint :
+       { aFingerprints.mOfContent, aFingerprints.mFromCaller }) {
+    mRecent.Add(aNow, fingerprint, mOptions);
+    const auto it = mEntries.find(fingerprint);
+    if (it == mEntries.end()) {
+      continue;
+    }
+    Entry& entry = it->second;
+    const Suspicion before = StateOf(aNow, entry);
+    for (CrashMark& mark : entry.mMarks) {
+      mark.mIsCleared = true;
+    }
+    if (before >= Suspicion::Probation) {
+      out.mService = entry.mService;
+      out.mRecords.push_back(RecordOf(aNow, fingerprint, entry));
+    }
+  }
+  return out;
+}
+
+bool
+CrashEvidence::Corrects(const Entry& aEntry, const CrashRecord& aRecord)
+{
+  if (UnclearedCount(aRecord.mMarks) < kCrashesToProbation) {
+    return false;
+  }
+  return std::any_of(
+    aRecord.mMarks.begin(), aRecord.mMarks.end(), [&](const CrashMark& aMark) {
+      const auto known = FindMark(aEntry.mMarks, aMark.mCrash);
+      return !aMark.mIsCleared && known != aEntry.mMarks.end() &&
+             known->mIsCleared;
+    });
+}
+
+void
+CrashEvidence::MergeRecord(TimePoint aNow,
+                           const std::string& aService,
+                           const CrashRecord& aRecord,
+                           CrashNotice& aNews)
+{
+  Entry& entry = FindOrAdd(aNow, aService, aRecord.mFingerprint);
+  bool isNews = Corrects(entry, aRecord);
+  for (const CrashMark& mark : aRecord.mMarks) {
+    const bool isNew = AddMark(aNow, entry, mark);
+    isNews |= isNew;
+    if (isNew && mark.mIsTrial && aRecord.mQuarantineMs > 0) {
+      const Duration left = milliseconds(aRecord.mQuarantineMs);
+      entry.mQuarantineEnd =
+        std::max(entry.mQuarantineEnd,
+                 aNow + std::min<Duration>(left, mOptions.mQuarantine));
+      entry.mLatest = std::max(entry.mLatest, entry.mQuarantineEnd);
+    }
+  }
+  if (isNews) {
+    aNews.mRecords.push_back(RecordOf(aNow, aRecord.mFingerprint, entry));
+  }
+}
+
+CrashNotice
+CrashEvidence::Merge(TimePoint aNow, const CrashNotice& aNotice)
+{
+  CrashNotice out{ .mService = aNotice.mService, .mCrash = aNotice.mCrash };
+  for (const CrashRecord& it : aNotice.mRecords) {
+    MergeRecord(aNow, aNotice.mService, it, out);
+  }
+  for (const uint64_t fingerprint : aNotice.mInFlight) {
+    Entry& entry = FindOrAdd(aNow, aNotice.mService, fingerprint);
+    if (!AddMark(aNow, entry, { .mCrash = aNotice.mCrash })) {
+      continue;
+    }
+    if (StateOf(aNow, entry) >= Suspicion::Probation) {
+      out.mRecords.push_back(RecordOf(aNow, fingerprint, entry));
+    } else {
+      out.mInFlight.push_back(fingerprint);
+    }
+  }
+  return out;
+}
+
+void
+CrashEvidence::Expire(TimePoint aNow)
+{
+  mRecent.Expire(aNow, mOptions);
+  std::erase_if(mEntries, [&](const auto& aPair) {
+    return aNow - aPair.second.mLatest >= mOptions.mExpiry;
+  });
+}
+
+CrashNotice
+CrashEvidence::Snapshot(TimePoint aNow,
+                        const std::string& aService,
+                        Suspicion aLeast) const
+{
+  std::vector<std::pair<Suspicion, uint64_t>> found;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    const Suspicion state = StateOf(aNow, entry);
+    if (entry.mService == aService && state >= aLeast) {
+      found.emplace_back(state, fingerprint);
+    }
+  }
+  const size_t count = std::min(found.size(), kMaxSnapshotEntries);
+  std::partial_sort(found.begin(),
+                    found.begin() + std::ptrdiff_t(count),
+                    found.end(),
+                    std::greater<>());
+  CrashNotice out{ .mService = aService };
+  for (size_t n = 0; n < count; ++n) {
+    const uint64_t fingerprint = found[n].second;
+    out.mRecords.push_back(
+      RecordOf(aNow, fingerprint, mEntries.at(fingerprint)));
+  }
+  return out;
+}
+
+std::vector<std::string>
+CrashEvidence::Services() const
+{
+  std::set<std::string> out;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    out.insert(entry.mService);
+  }
+  return { out.begin(), out.end() };
+}
+
+size_t
+CrashEvidence::CountOf(TimePoint aNow, Suspicion aState) const
+{
+  return size_t(
+    std::count_if(mEntries.begin(), mEntries.end(), [&](const auto& aPair) {
+      return StateOf(aNow, aPair.second) == aState;
+    }));
+}
+
+void
+CrashEvidence::EvictIfFull(TimePoint aNow)
+{
+  if (mEntries.size() < std::max<size_t>(1, mOptions.mMaxEntries)) {
+    return;
+  }
+  // The least suspected one, and of these the oldest.
+  const auto evicted = std::min_element(
+    mEntries.begin(),
+    mEntries.end(),
+    [&](const auto& aOne, const auto& aOther) {
+      return std::pair{ StateOf(aNow, aOne.second), aOne.second.mLatest } <
+             std::pair{ StateOf(aNow, aOther.second), aOther.second.mLatest };
+    });
+  mEntries.erase(evicted);
+}
+
+} // namespace amaranthgap
--- /dev/null
+++ b/libs/quarantine/tests/CrashEvidenceTest.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "base/Rng.h"
+#include "quarantine/CrashEvidence.h"
+
+using namespace amaranthgap;
+
+namespace {
+
+const TimePoint kStart{ seconds(100) };
+const std::string kService = "logs";
+
+RequestFingerprints
+Prints(uint64_t aContent, uint64_t aCaller = 1)
+{
+  return { .mOfContent = aContent, .mFromCaller = aContent * 1000 + aCaller };
+}
+
+InFlightRequest
+Normal(uint64_t aContent, uint64_t aCaller = 1)
+{
+  return { .mFingerprints = Prints(aContent, aCaller) };
+}
+
+/** Nodes of one service that get each other's notices at once. */
+class EvidenceGroup
+{
+public:
+  explicit EvidenceGroup(size_t aCount)
+    : mNodes(aCount, CrashEvidence(CrashEvidence::Options{}))
+  {
+  }
+
+  /** The upstream of a node crashes; what is on probation runs as a trial. */
+  void Crash(size_t aNode, std::vector<InFlightRequest> aInFlight)
+  {
+    for (InFlightRequest& it : aInFlight) {
+      it.mIsTrial =
+        mNodes[aNode].StateOf(mNow, it.mFingerprints) == Suspicion::Probation;
+    }
+    Tell(mNodes[aNode].RecordCrash(mNow, kService, ++mCrash, aInFlight));
+  }
+
+  void Complete(size_t aNode, const RequestFingerprints& aPrints)
+  {
+    Tell(mNodes[aNode].RecordCompletion(mNow, aPrints));
+  }
+
+  void Wait(Duration aTime)
+  {
+    mNow += aTime;
+    for (CrashEvidence& it : mNodes) {
+      it.Expire(mNow);
+    }
+  }
+
+  [[nodiscard]] Suspicion StateOf(size_t aNode, uint64_t aContent) const
+  {
+    return mNodes[aNode].StateOf(mNow, Prints(aContent));
+  }
+  [[nodiscard]] bool AllHave(uint64_t aContent, Suspicion aState) const
+  {
+    return std::all_of(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+      return aNode.StateOf(mNow, Prints(aContent)) == aState;
+    });
+  }
+  [[nodiscard]] TimePoint Now() const { return mNow; }
+  CrashEvidence& At(size_t aNode) { return mNodes[aNode]; }
+
+private:
+  void Tell(const CrashNotice& aNotice)
+  {
+    std::vector<CrashNotice> waiting{ aNotice };
+    while (!waiting.empty()) {
+      const CrashNotice notice = waiting.back();
+      waiting.pop_back();
+      if (notice.IsEmpty()) {
+        continue;
+      }
+      for (CrashEvidence& it : mNodes) {
+        waiting.push_back(it.Merge(mNow, notice));
+      }
+    }
+  }
+
+  std::vector<CrashEvidence> mNodes;
+  TimePoint mNow = kStart;
+  uint64_t mCrash = 0;
+};
+
+} // namespace
+
+// Guards against a crashing request that costs more than three upstreams.
+TEST_CASE("a content is quarantined everywhere after three crashes")
+{
+  EvidenceGroup group(4);
+  group.Crash(0, { Normal(1), Normal(2), Normal(7) });
+  CHECK(group.AllHave(7, Suspicion::Suspect));
+  group.Crash(1, { Normal(3), Normal(4), Normal(7) });
+  CHECK(group.AllHave(7, Suspicion::Probation));
+  CHECK(group.AllHave(1, Suspicion::Suspect));
+  group.Crash(2, { Normal(5), Normal(7) });
+  CHECK(group.AllHave(7, Suspicion::Quarantined));
+  CHECK(group.AllHave(5, Suspicion::Suspect));
+  CHECK(group.At(3).QuarantineLeft(group.Now(), Prints(7)) == minutes(10));
+}
+
+// Guards against the refusal of requests that were in flight by chance.
+TEST_CASE("a content that completes anywhere is suspected no more")
+{
+  EvidenceGroup group(4);
+  group.Crash(0, { Normal(1) });
+  group.Complete(3, Prints(1));
+  CHECK(group.StateOf(3, 1) == Suspicion::Clear);
+  // Node 3 corrects the others once they hold the content for a graver case.
+  group.Crash(1, { Normal(1) });
+  CHECK(group.AllHave(1, Suspicion::Suspect));
+  group.Crash(2, { Normal(1) });
+  CHECK(group.AllHave(1, Suspicion::Probation));
+  group.Complete(0, Prints(1));
+  CHECK(group.AllHave(1, Suspicion::Clear));
+}
+
+// Guards against a loss of power of a data centre that quarantines what all of
+// its upstreams were running.
+TEST_CASE("crashes at the same moment quarantine nothing")
+{
+  EvidenceGroup group(6);
+  for (size_t n = 0; n < 5; ++n) {
+    const std::vector<InFlightRequest> inFlight{ Normal(1), Normal(2) };
+    group.At(n).RecordCrash(group.Now(), kService, 100 + n, inFlight);
+  }
+  for (size_t n = 0; n < 5; ++n) {
+    group.At(5).Merge(
+      group.Now(),
+      group.At(n).Snapshot(group.Now(), kService, Suspicion::Suspect));
+  }
+  CHECK(group.StateOf(5, 1) == Suspicion::Probation);
+  group.Complete(5, Prints(1));
+  CHECK(group.StateOf(5, 1) == Suspicion::Clear);
+}
+
+// Guards against suspicion of a content that is answered all the time.
+TEST_CASE("a content that has just completed is no suspect of a crash")
+{
+  EvidenceGroup group(2);
+  group.Complete(0, Prints(1));
+  group.Crash(0, { Normal(1), Normal(2) });
+  CHECK(group.AllHave(1, Suspicion::Clear));
+  CHECK(group.AllHave(2, Suspicion::Suspect));
+  group.Wait(seconds(6));
+  group.Wait(seconds(6));
+  group.Crash(0, { Normal(1) });
+  CHECK(group.AllHave(1, Suspicion::Suspect));
+}
+
+// Guards against a crashing request that hides behind the same content of other
+// callers, and against their refusal.
+TEST_CASE("a content that crashes for one caller is refused to that one only")
+{
+  EvidenceGroup group(3);
+  for (size_t n = 0; n < 3; ++n) {
+    group.Complete(n, Prints(1, 2));
+    group.Crash(n, { Normal(1, 1) });
+  }
+  const TimePoint now = group.Now();
+  CHECK(group.At(0).StateOf(now, Prints(1, 1)) == Suspicion::Quarantined);
+  CHECK(group.At(0).StateOf(now, Prints(1, 2)) == Suspicion::Clear);
+}
+
+// Guards against an upstream that stays without a request after it was
+// repaired, and against three more crashes if it was not.
+TEST_CASE("a quarantine ends with a trial")
+{
+  EvidenceGroup group(3);
+  for (size_t n = 0; n < 3; ++n) {
+    group.Crash(n, { Normal(7) });
+  }
+  group.Wait(minutes(10));
+  CHECK(group.AllHave(7, Suspicion::Probation));
+  group.Crash(0, { Normal(7) });
+  CHECK(group.AllHave(7, Suspicion::Quarantined));
+  group.Wait(minutes(10));
+  group.Complete(1, Prints(7));
+  CHECK(group.AllHave(7, Suspicion::Clear));
+  group.Wait(minutes(10));
+  CHECK(group.At(0).IsEmpty());
+}
+
+// Guards against suspects that push the requests known to crash out of a full
+// table.
+TEST_CASE("a full table of evidence keeps what is quarantined")
+{
+  CrashEvidence evidence({ .mMaxEntries = 8 });
+  for (uint64_t crash = 1; crash <= 3; ++crash) {
+    evidence.RecordCrash(
+      kStart,
+      kService,
+      crash,
+      { { .mFingerprints = Prints(7), .mIsTrial = crash == 3 } });
+  }
+  for (uint64_t content = 10; content < 30; ++content) {
+    evidence.RecordCrash(kStart, kService, content, { Normal(content) });
+  }
+  CHECK(evidence.StateOf(kStart, Prints(7)) == Suspicion::Quarantined);
+  CHECK(
+    evidence.Snapshot(kStart, kService, Suspicion::Suspect).mRecords.size() <=
+    8);
+}
+
+// Guards against nodes that disagree for ever after notices were delayed,
+// repeated or lost with a connection.
+TEST_CASE("copies of the evidence converge in any order of the notices")
+{
+  const auto seed = uint64_t(GENERATE(range(1, 20)));
+  INFO("seed " << seed);
+  Rng rng(seed);
+  std::vector<CrashEvidence> nodes(5, CrashEvidence(CrashEvidence::Options{}));
+  std::vector<CrashNotice> notices;
+  for (uint64_t n = 1; n <= 60; ++n) {
+    CrashEvidence& node = nodes[rng.Below(nodes.size())];
+    const uint64_t content = rng.Below(4);
+    if (rng.Below(3) > 0) {
+      const bool isTrial =
+        node.StateOf(kStart, Prints(content)) == Suspicion::Probation;
+      notices.push_back(
+        node.RecordCrash(kStart,
+                         kService,
+                         n,
+                         { { .mFingerprints = Prints(content),
+                             .mIsTrial = isTrial && rng.Below(4) == 0 } }));
+    } else {
+      notices.push_back(node.RecordCompletion(kStart, Prints(content)));
+    }
+    const CrashNotice& some = notices[rng.Below(notices.size())];
+    notices.push_back(nodes[rng.Below(nodes.size())].Merge(kStart, some));
+  }
+  // New connections bring the snapshots of both ends.
+  for (int round = 0; round < 2; ++round) {
+    for (CrashEvidence& one : nodes) {
+      for (CrashEvidence& other : nodes) {
+        one.Merge(kStart, other.Snapshot(kStart, kService, Suspicion::Clear));
+      }
+    }
+  }
+  for (uint64_t content = 0; content < 4; ++content) {
+    const Suspicion state = nodes[0].StateOf(kStart, Prints(content));
+    for (const CrashEvidence& it : nodes) {
+      CHECK(it.StateOf(kStart, Prints(content)) == state);
+    }
+  }
+}
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -16,6 +16,15 @@
 // Messages between the node that a request enters and the node beside the
 // target. Short field lists: their bytes between regions are billed.
 
+/** Revision of these messages that a node reads. Messages of a later revision
+ * are not sent to it, as a node closes a connection with an unknown one. */
+enum class LinkRevision : uint8_t
+{
+  First = 0,
+  CrashNotices = 1, ///< CrashNotice.
+};
+inline constexpr auto kLinkRevision = LinkRevision::CrashNotices;
+
 /** Scale of the shares and ratios in these messages. */
 inline constexpr double kThousandths = 1000;
 
@@ -49,6 +58,7 @@
   bool mReachesStore = true;
   bool mWatchesStore = false; ///< Tells others what changes in the store.
   std::optional<UpstreamNotice> mNotice; ///< Empty if there is none.
+  uint8_t mLinkRevision = 0;             ///< See LinkRevision.
 
   MSGPACK_DEFINE(mNode,
                  mRun,
@@ -63,7 +73,8 @@
                  mRoutesVersion,
                  mReachesStore,
                  mWatchesStore,
-                 mNotice)
+                 mNotice,
+                 mLinkRevision)
 };
 
 /** Address and location of a node, as stored and as exchanged between nodes. */
@@ -86,8 +97,9 @@
 {
   NodeAddress mFrom;
   std::optional<UpstreamNotice> mNotice; ///< Of the receiver's upstream.
+  uint8_t mLinkRevision = 0;             ///< See LinkRevision.
 
-  MSGPACK_DEFINE(mFrom, mNotice)
+  MSGPACK_DEFINE(mFrom, mNotice, mLinkRevision)
 };
 
 /** Nodes that the sender knows. */
@@ -315,6 +327,43 @@
   MSGPACK_DEFINE(mDocument)
 };
 
+/** Crash of an upstream while a request was in flight there. */
+struct CrashMark
+{
+  uint64_t mCrash = 0;     ///< Unique number of the crash.
+  bool mIsTrial = false;   ///< It was the only such suspect in flight.
+  bool mIsCleared = false; ///< A request with the same content completed since.
+
+  MSGPACK_DEFINE(mCrash, mIsTrial, mIsCleared)
+};
+
+/** What is known of the requests with one fingerprint. */
+struct CrashRecord
+{
+  uint64_t mFingerprint = 0;
+  std::vector<CrashMark> mMarks;
+  uint32_t mQuarantineMs = 0; ///< Left of the quarantine; 0 without one.
+
+  MSGPACK_DEFINE(mFingerprint, mMarks, mQuarantineMs)
+};
+
+/** Tells the nodes of a service of a crash and of requests under suspicion, and
+ * other nodes of the quarantined ones. */
+struct CrashNotice
+{
+  std::string mService;
+  uint64_t mCrash = 0;             ///< 0 if there is no crash to tell of.
+  std::vector<uint64_t> mInFlight; ///< Fingerprints, at that crash.
+  std::vector<CrashRecord> mRecords;
+
+  [[nodiscard]] bool IsEmpty() const
+  {
+    return mInFlight.empty() && mRecords.empty();
+  }
+
+  MSGPACK_DEFINE(mService, mCrash, mInFlight, mRecords)
+};
+
 /** Order of the alternatives is the message kind on the wire. */
 using LinkMessage = std::variant<NodeState,
                                  ForwardRequest,
@@ -326,7 +375,8 @@
                                  LoadReport,
                                  LinkHello,
                                  NodeList,
-                                 StoreNotice>;
+                                 StoreNotice,
+                                 CrashNotice>;
 
 } // namespace amaranthgap
 
