--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -6,9 +6,9 @@
 
 namespace amaranthgap {
 
-/** Two entry nodes of the service "crews" and eight nodes beside upstreams of
- * "logs", some of whose requests crash the upstream that begins to run them.
- * Not safe for use by several threads. */
+/** Entry nodes of the services "crews" and "desk", and eight nodes beside
+ * upstreams of "logs", some of whose requests crash the upstream that begins to
+ * run them. Not safe for use by several threads. */
 class CrashFleet : public ProxyFleet
 {
 public:
@@ -43,6 +43,10 @@
           Serve(n, aConnection, aRequest);
         });
     }
+    At(0).mUpstream->SetBehaviour([this](FakeUpstream::Connection& aConnection,
+                                         const HttpRequest& aRequest) {
+      ServeParent(aConnection, aRequest);
+    });
     mTimer.Start(
       milliseconds(1), milliseconds(1), [this] { RunDue(EventLoop::Now()); });
     Start(aRoutes);
@@ -65,7 +69,8 @@
     At(aNode).mUpstream->Crash();
     After(kDownTime, [this, aNode] {
       At(aNode).mUpstream->Start();
-      StartReport(aNode, false, "r" + std::to_string(++mRestarts) + '-');
+      mInstances[aNode] = "r" + std::to_string(++mRestarts) + '-';
+      StartReport(aNode, false, mInstances[aNode]);
     });
   }
 
@@ -75,11 +80,24 @@
     Send(aEntry, aMethod, "/logs/77", kCrashingBody);
   }
 
+  /** Sends a request whose run makes the call that crashes its upstreams. */
+  void SendParentOfCrashing() { Send(0, "GET", "/crews/1", kCrashingBody); }
+
   void SendOther(size_t aEntry, const std::string& aPath)
   {
     Send(aEntry, "GET", aPath, "");
   }
 
+  /** Kills the process of a node and starts it again; its upstream goes on. */
+  void RestartProxy(size_t aNode)
+  {
+    At(aNode).mProxy.reset();
+    After(milliseconds(200), [this, aNode] {
+      StartProxy(aNode);
+      StartReport(aNode, false, mInstances[aNode]);
+    });
+  }
+
   /** @return the times at which the crashing request reached an upstream. */
   [[nodiscard]] const std::vector<Crash>& Crashes() const { return mCrashes; }
   [[nodiscard]] const std::vector<Sent>& Requests() const { return mSent; }
@@ -108,7 +126,7 @@
 private:
   static std::vector<std::string> ServicesOfNodes()
   {
-    std::vector<std::string> out(kEntries, "crews");
+    std::vector<std::string> out{ "crews", "desk" };
     out.resize(kEntries + kUpstreams, "logs");
     return out;
   }
@@ -139,17 +157,51 @@
     });
   }
 
+  /** Makes the call and fails with it. */
+  void ServeParent(FakeUpstream::Connection& aConnection,
+                   const HttpRequest& aRequest)
+  {
+    const std::string id(FindHeader(aRequest.mHeaders, "Test-Id"));
+    auto call = Call(0, "GET", "/logs/77", id + "/1", 3000, kCrashingBody);
+    mParents.push_back({ &aConnection, aRequest, std::move(call) });
+  }
+
+  void AnswerParents()
+  {
+    std::erase_if(mParents, [](const Parent& aParent) {
+      if (!aParent.mCall->mIsDone) {
+        return false;
+      }
+      if (aParent.mConnection->mIsOpen) {
+        FakeUpstream::Respond(
+          *aParent.mConnection, aParent.mRequest, 500, "the call failed");
+      }
+      return true;
+    });
+  }
+
   void RunDue(TimePoint aNow)
   {
     while (!mDue.empty() && mDue.begin()->first <= aNow) {
       const auto due = mDue.extract(mDue.begin());
       due.mapped()();
     }
+    AnswerParents();
   }
 
+  /** Request that waits for its call. */
+  struct Parent
+  {
+    FakeUpstream::Connection* mConnection = nullptr;
+    HttpRequest mRequest;
+    std::shared_ptr<Answer> mCall;
+  };
+
   std::multimap<TimePoint, std::function<void()>> mDue;
+  std::vector<Parent> mParents;
   std::vector<Sent> mSent;
   std::vector<Crash> mCrashes;
+  std::vector<std::string> mInstances{ kEntries + kUpstreams, "i" };
   int mRestarts = 0;
   TimePoint mStarted{};
   Timer mTimer;
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const std::string kRoutes = "1 /logs/ logs MANY 1000";
+const std::string kRoutes = "1 /logs/ logs MANY 1000 /crews/ crews MANY 1000";
 const std::string kOnceRoutes = "1 /logs/ logs ONCE 1000";
 // The users' bound: this many further runs, sent later than this after the
 // third upstream has crashed.
@@ -16,18 +16,20 @@
 constexpr Duration kOtherPause = milliseconds(20);
 constexpr Duration kCrashingPause = milliseconds(160);
 
-/** Sends other requests, and between them the one that crashes upstreams, from
- * both entries. */
+/** Sends other requests, and between them one that crashes upstreams. */
 void
-SendFor(CrashFleet& aFleet, Duration aTime, const std::string& aMethod)
+SendFor(CrashFleet& aFleet,
+        Duration aTime,
+        const std::function<void(size_t)>& aSendCrashing,
+        Duration aPause = kCrashingPause)
 {
   const TimePoint end = EventLoop::Now() + aTime;
   TimePoint nextCrashing = EventLoop::Now();
   while (EventLoop::Now() < end) {
     const size_t count = aFleet.Requests().size();
     if (EventLoop::Now() >= nextCrashing) {
-      aFleet.SendCrashing(count % CrashFleet::kEntries, aMethod);
-      nextCrashing += kCrashingPause;
+      aSendCrashing(count % CrashFleet::kEntries);
+      nextCrashing += aPause;
     }
     aFleet.SendOther(count % CrashFleet::kEntries,
                      "/logs/" + std::to_string(count));
@@ -72,11 +74,91 @@
   const bool isOnce = GENERATE(false, true);
   INFO("non-idempotent: " << isOnce);
   CrashFleet fleet(isOnce ? kOnceRoutes : kRoutes);
-  SendFor(fleet, seconds(8), isOnce ? "POST" : "GET");
+  SendFor(fleet, seconds(8), [&](size_t aEntry) {
+    fleet.SendCrashing(aEntry, isOnce ? "POST" : "GET");
+  });
   fleet.RunFor(seconds(1));
   CheckLateRuns(fleet);
 }
 
+// Guards against a call whose parent comes again, with a new id each time.
+TEST_CASE("a call that crashes its upstreams is not sent on to all others")
+{
+  CrashFleet fleet(kRoutes);
+  SendFor(fleet, seconds(8), [&](size_t) { fleet.SendParentOfCrashing(); });
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
+// Guards against evidence that is gone before the request comes again.
+TEST_CASE("a crashing request that comes seldom is found all the same")
+{
+  CrashFleet fleet(kRoutes);
+  SendFor(
+    fleet,
+    seconds(14),
+    [&](size_t aEntry) { fleet.SendCrashing(aEntry, "GET"); },
+    milliseconds(3500));
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
+// Guards against a verdict that is lost with the processes that hold it.
+TEST_CASE("a crashing request stays refused when nodes restart")
+{
+  CrashFleet fleet(kRoutes);
+  const auto send = [&](size_t aEntry) { fleet.SendCrashing(aEntry, "GET"); };
+  SendFor(fleet, seconds(3), send);
+  const size_t before = fleet.Crashes().size();
+  CHECK(before <= 4);
+  for (size_t n = 0; n < CrashFleet::kEntries + CrashFleet::kUpstreams; ++n) {
+    fleet.RestartProxy(n);
+    SendFor(fleet, milliseconds(700), send);
+  }
+  INFO(Timeline(fleet));
+  CHECK(fleet.Crashes().size() == before);
+}
+
+// Guards against evidence of one that clears or hides the other.
+TEST_CASE("two crashing requests at once are both found")
+{
+  CrashFleet fleet(kRoutes);
+  SendFor(fleet, seconds(8), [&](size_t aEntry) {
+    fleet.SendCrashing(aEntry, "GET");
+    fleet.SendCrashing(1 - aEntry, "PUT");
+  });
+  fleet.RunFor(seconds(1));
+  INFO(Timeline(fleet));
+  const TimePoint bound =
+    fleet.Started() + kTouch + CrashFleet::kDownTime + seconds(1);
+  CHECK(fleet.CrashesAfter(bound) == 0);
+  CHECK(fleet.OthersWith(200, bound) == fleet.OthersWith(0, bound));
+}
+
+// Guards against the refusal of requests that were merely in flight.
+TEST_CASE("upstreams that crash without a request to blame cost no others")
+{
+  CrashFleet fleet(kRoutes);
+  constexpr Duration kCrashPause = milliseconds(700);
+  TimePoint nextCrash = EventLoop::Now();
+  const TimePoint end = EventLoop::Now() + seconds(10);
+  for (size_t n = 0; EventLoop::Now() < end; ++n) {
+    if (EventLoop::Now() >= nextCrash) {
+      fleet.CrashUpstream(CrashFleet::kEntries + n % CrashFleet::kUpstreams);
+      nextCrash += kCrashPause;
+    }
+    fleet.SendOther(n % CrashFleet::kEntries, "/logs/" + std::to_string(n % 5));
+    fleet.RunFor(kOtherPause);
+  }
+  fleet.RunFor(seconds(1));
+  INFO(Timeline(fleet));
+  CHECK(double(fleet.OthersWith(200)) >= 0.99 * double(fleet.OthersWith(0)));
+  for (size_t n = 0; n < CrashFleet::kEntries + CrashFleet::kUpstreams; ++n) {
+    CHECK(fleet.Metric(n, "quarantine_refusals_total") == 0);
+    CHECK(fleet.Metric(n, "fingerprints_quarantined") == 0);
+  }
+}
+
 // Guards against evidence from what is not a crash.
 TEST_CASE("a crash of the upstream is told from other ends of its connections")
 {
