--- a/libs/proxy/include/proxy/CrashDetector.h
+++ b/libs/proxy/include/proxy/CrashDetector.h
@@ -56,6 +56,8 @@
 
   /** Records that a run ended without an answer. */
   void RunLost(TimePoint aNow, CrashedRun aRun);
+  /** Records that the upstream ended a connection before its answer. */
+  void ConnectionLost(TimePoint aNow);
   /** @return the runs lost of late, which are forgotten. */
   std::vector<CrashedRun> TakeLostRuns(TimePoint aNow);
   /** Connects to the upstream if that is due. */
@@ -75,7 +77,7 @@
   std::string mAddress;
   std::function<void(TimePoint)> mOnRefused;
   std::deque<LostRun> mLostRuns; ///< In order of time.
-  bool mNeedsProbe = false;      ///< A run was lost since the latest probe.
+  bool mNeedsProbe = false;      ///< After a lost connection.
   std::unique_ptr<TcpStream> mProbe;
   TimePoint mProbeStart{};
 };
--- a/libs/proxy/src/CrashDetector.cpp
+++ b/libs/proxy/src/CrashDetector.cpp
@@ -42,6 +42,11 @@
     mLostRuns.pop_front();
   }
   mLostRuns.push_back({ aNow, std::move(aRun) });
+}
+
+void
+CrashDetector::ConnectionLost(TimePoint aNow)
+{
   mNeedsProbe = true;
   Tick(aNow);
 }
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -271,6 +271,7 @@
     mCrashes.Completed(now, attempt.mFingerprints);
   } else if (aEnd == ExchangeEnd::Lost || aEnd == ExchangeEnd::Invalid) {
     NoteLostRun(now, attempt);
+    mCrashDetector.ConnectionLost(now);
   }
   if (reply.mReason == AttemptReason::NotConnected) {
     SetDown("connection refused");
--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -53,6 +53,9 @@
     mStarted = EventLoop::Now();
   }
 
+  /** Sets the time from the start of a crashing run to the crash. */
+  void SetCrashDelay(Duration aTime) { mCrashDelay = aTime; }
+
   /** Calls a function after some time. */
   void After(Duration aTime, std::function<void()> aFunction)
   {
@@ -147,7 +150,11 @@
              const HttpRequest& aRequest)
   {
     if (aRequest.mBody == kCrashingBody) {
-      CrashUpstream(aNode);
+      After(mCrashDelay, [this, aNode, &aConnection] {
+        if (aConnection.mIsOpen) {
+          CrashUpstream(aNode);
+        }
+      });
       return;
     }
     After(kWork, [&aConnection, aRequest] {
@@ -202,6 +209,7 @@
   std::vector<Sent> mSent;
   std::vector<Crash> mCrashes;
   std::vector<std::string> mInstances{ kEntries + kUpstreams, "i" };
+  Duration mCrashDelay{};
   int mRestarts = 0;
   TimePoint mStarted{};
   Timer mTimer;
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -81,6 +81,19 @@
   CheckLateRuns(fleet);
 }
 
+// Guards against copies that run at many upstreams before the first crash
+// tells.
+TEST_CASE("a request that crashes its upstreams late takes few of them at once")
+{
+  CrashFleet fleet(kRoutes);
+  fleet.SetCrashDelay(milliseconds(300));
+  SendFor(fleet, seconds(8), [&](size_t aEntry) {
+    fleet.SendCrashing(aEntry, "GET");
+  });
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
 // Guards against a call whose parent comes again, with a new id each time.
 TEST_CASE("a call that crashes its upstreams is not sent on to all others")
 {
