--- a/libs/config/src/AddressReader.h
+++ b/libs/config/src/AddressReader.h
@@ -1,53 +1,29 @@
 #pragma once
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include "Names.h"
 #include "TableReader.h"
+#include "base/Address.h"
 
 namespace amaranthgap {
 
 constexpr size_t kMaxSettingsBytes = size_t(1) << 20;
 constexpr size_t kMaxStaticPeers = 64;
 
-struct Address
-{
-  std::string mHost;
-  uint16_t mPort = 0;
-};
-
 /** @return the parts of `host:port`, or nothing if the host is empty or the
  * port is not within 1 to 65535. The host is not validated. */
 inline std::optional<Address>
-ParseAddress(const std::string& aText)
-{
-  const size_t colon = aText.rfind(':');
-  if (colon == std::string::npos || colon == 0) {
-    return std::nullopt;
-  }
-  Address out{ .mHost = aText.substr(0, colon) };
-  const char* end = aText.data() + aText.size();
-  const auto [at, ec] =
-    std::from_chars(aText.data() + colon + 1, end, out.mPort);
-  if (ec != std::errc() || at != end || out.mPort == 0) {
-    return std::nullopt;
-  }
-  return out;
-}
-
-inline bool
-IsIpv4Address(const std::string& aHost)
+ParseServiceAddress(std::string_view aText)
 {
-  in_addr parsed{};
-  return inet_pton(AF_INET, aHost.c_str(), &parsed) == 1;
+  auto out = ParseAddress(aText);
+  return out && out->mPort != 0 ? out : std::nullopt;
 }
 
 /** Reads the addresses in one settings file and reports those that conflict
@@ -96,7 +72,7 @@
   std::string ReadLoopbackAddress(std::string_view aKey)
   {
     std::string text = ReadListenAddress(aKey);
-    if (const auto address = ParseAddress(text);
+    if (const auto address = ParseServiceAddress(text);
         address && IsIpv4Address(address->mHost) &&
         !address->mHost.starts_with("127.")) {
       mTable.Report(aKey, "out of range: must be a loopback address");
@@ -111,7 +87,7 @@
     if (text.empty()) {
       return text;
     }
-    const auto address = ParseAddress(text);
+    const auto address = ParseServiceAddress(text);
     if (!address || !IsValidName(address->mHost)) {
       mTable.Report(aKey, "out of range: must be host:port");
     } else {
@@ -138,7 +114,7 @@
       const auto key = fmt::format("{}[{}]", aKey, out.size());
       const auto line = node.source().begin.line;
       const auto text = node.value_exact<std::string>();
-      const auto address = text ? ParseAddress(*text) : std::nullopt;
+      const auto address = text ? ParseServiceAddress(*text) : std::nullopt;
       if (!text) {
         mProblems.Add(line, key, "wrong type: expected string");
       } else if (!address || !IsIpv4Address(address->mHost)) {
@@ -155,7 +131,7 @@
   std::optional<Address> ParseIpAddress(std::string_view aKey,
                                         const std::string& aText)
   {
-    auto address = ParseAddress(aText);
+    auto address = ParseServiceAddress(aText);
     if (!address || !IsIpv4Address(address->mHost)) {
       mTable.Report(aKey, "out of range: must be ip:port, port 1 to 65535");
       return std::nullopt;
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -1,7 +1,6 @@
 #include "net/TcpStream.h"
 
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -10,6 +9,7 @@
 #include <sys/socket.h>
 #include <uv.h>
 
+#include "base/Address.h"
 #include "net/EventLoop.h"
 
 namespace amaranthgap {
@@ -22,17 +22,11 @@
 constexpr int kBacklog = 1024;
 
 bool
-ParseAddress(const std::string& aAddress, sockaddr_in& aParsed)
+ReadAddress(const std::string& aAddress, sockaddr_in& aParsed)
 {
-  const size_t colon = aAddress.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  int port = 0;
-  const char* end = aAddress.data() + aAddress.size();
-  const auto [at, ec] = std::from_chars(aAddress.data() + colon + 1, end, port);
-  return ec == std::errc() && at == end &&
-         uv_ip4_addr(aAddress.substr(0, colon).c_str(), port, &aParsed) == 0;
+  const auto address = ParseAddress(aAddress);
+  return address &&
+         uv_ip4_addr(address->mHost.c_str(), address->mPort, &aParsed) == 0;
 }
 
 std::string
@@ -254,7 +248,7 @@
   parts->mPeer = aAddress;
   parts->mConnect.data = parts;
   sockaddr_in to{};
-  const bool valid = ParseAddress(aAddress, to);
+  const bool valid = ReadAddress(aAddress, to);
   const int ec =
     valid
       ? uv_tcp_connect(&parts->mConnect,
@@ -422,7 +416,7 @@
     return Error{ Step::Listen, aAddress, uv_strerror(aEc) };
   };
   sockaddr_in at{};
-  if (!ParseAddress(aAddress, at)) {
+  if (!ReadAddress(aAddress, at)) {
     return fail(UV_EINVAL);
   }
   mParts->mOptions = aOptions;
--- a/libs/wire/tests/FrameCodecTest.cpp
+++ b/libs/wire/tests/FrameCodecTest.cpp
@@ -37,11 +37,24 @@
   unknownKind[4] = 99;
   std::string cut = EncodeFrame(RoutesRequest{ 1 });
   cut[0] = char(cut[0] - 1);
+  // A probe with another body.
+  const auto framed = [](const std::string& aBody) {
+    std::string out = EncodeFrame(LinkProbe{}).substr(0, 5) + aBody;
+    const size_t size = out.size() - 4;
+    for (size_t n = 0; n < 4; ++n) {
+      out[n] = char((size >> (8 * n)) & 0xff);
+    }
+    return out;
+  };
   const std::vector<std::pair<std::string, std::string>> cases{
     { "larger than any frame", std::string("\xff\xff\xff\x7f", 4) },
     { "unknown kind", unknownKind },
     { "body cut short", cut },
     { "not msgpack", std::string("\x02\0\0\0\xc1\xc1", 6) },
+    { "nested a million times", framed(std::string(1'000'000, '\x91')) },
+    { "more elements than bytes", framed("\xdd\xff\xff\xff\xff") },
+    { "more pairs than bytes", framed("\xdf\xff\xff\xff\xff") },
+    { "text longer than the frame", framed("\xdb\xff\xff\xff\xff") },
   };
   for (const auto& [name, bytes] : cases) {
     INFO(name);
