Read the other items of a listing when one cannot be read

One item of another form, such as a revision that is a text or beyond every number, made the whole listing unclear, so that a node learnt of no other node for as long as the item was there. A flag 'hasMore' of another type ended the process by an exception outside of the reader, and pages without an item were asked for without end.

Items are read one by one; those that cannot be read are logged (store-entry-unusable).

--- a/libs/platform/include/platform/LeasedStore.h
+++ b/libs/platform/include/platform/LeasedStore.h
@@ -48,7 +48,10 @@
 {
   StoreStatus mStatus = StoreStatus::Unclear;
   std::vector<StoreChange> mChanges;
+  /** Why some keys could not be read; the others are in mChanges. */
+  std::vector<std::string> mUnusable;
   uint64_t mRevision = 0; ///< Where a watch goes on.
+  bool mHasMore = false;  ///< Of one page: others follow.
   uint64_t mEra = 0;      ///< Of the answer; see LeasedStore.
   std::string mDetail;    ///< Why it failed.
 };
--- a/libs/proxy/include/proxy/StoreFollower.h
+++ b/libs/proxy/include/proxy/StoreFollower.h
@@ -78,6 +78,7 @@
                      size_t aTaken);
   void ListNodes(TimePoint aNow);
   void NodesListed(TimePoint aNow, const StoreChanges& aResult);
+  void LogUnusable(TimePoint aNow, const StoreChanges& aResult);
   void Register(TimePoint aNow);
   void ReadEntry();
   /** @return when to check the entry of this node, if all nodes do so now. */
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -144,6 +144,7 @@
     const TimePoint now = EventLoop::Now();
     const auto changes = mRoutes.Done(now, call.mNumber, aResult);
     LogRoutesRead(now, call, aResult, changes.size());
+    LogUnusable(now, aResult);
     NoteCall(now, aResult.mDetail, aResult.mEra);
     for (const StoreChange& it : changes) {
       if (it.mValue && it.mKey == mOptions.mRoutesKey) {
@@ -214,6 +215,7 @@
 StoreFollower::NodesListed(TimePoint aNow, const StoreChanges& aResult)
 {
   mIsListed = true;
+  LogUnusable(aNow, aResult);
   std::vector<NodeAddress> nodes;
   bool hasOwn = false;
   for (const StoreChange& it : aResult.mChanges) {
@@ -234,6 +236,15 @@
   mEvents.mNodes(nodes);
 }
 
+void
+StoreFollower::LogUnusable(TimePoint aNow, const StoreChanges& aResult)
+{
+  for (const std::string& it : aResult.mUnusable) {
+    mLogger.Write(
+      aNow, LogLevel::Warning, "store-entry-unusable", { { "detail", it } });
+  }
+}
+
 void
 StoreFollower::Register(TimePoint aNow)
 {
