Take no entry of a node that cannot be there

An entry among the nodes in the store with port 99999, -1 or none was tried as a node, in a place among those that are connected to, and one with the start 18,446,744,073,709,551,615 under the name of a node replaced that node for ever, as its real start counts as older. Deeply nested and empty entries and starts beyond 64 bits were refused before.

--- a/libs/discovery/include/discovery/NodeDirectory.h
+++ b/libs/discovery/include/discovery/NodeDirectory.h
@@ -10,6 +10,11 @@
 
 namespace amaranthgap {
 
+/** @return whether a node can be there: its address can be connected to, and
+ * its start is not later than every clock. Entries may be of other writers. */
+bool
+IsUsable(const NodeAddress& aAddress);
+
 /** The other nodes that this node knows of, and those it keeps a connection to.
  *
  * Nodes of the own data centre and region carry most requests; a few of each
--- a/libs/discovery/src/NodeDirectory.cpp
+++ b/libs/discovery/src/NodeDirectory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/Address.h"
 #include "base/Hash.h"
 
 namespace amaranthgap {
@@ -15,9 +16,18 @@
 constexpr Duration kForgetAfter = seconds(60);
 // Bounds the attempts to connect when a whole region is lost.
 constexpr size_t kMostTriedFactor = 2;
+// The year 2200, in milliseconds of Unix time. A run beyond it would replace
+// the real one for ever.
+constexpr uint64_t kLatestRunMillis = 7'258'118'400'000;
 
 } // namespace
 
+bool
+IsUsable(const NodeAddress& aAddress)
+{
+  return IsConnectable(aAddress.mAddress) && aAddress.mRun <= kLatestRunMillis;
+}
+
 NodeDirectory::NodeDirectory(Options aOptions)
   : mOptions(std::move(aOptions))
 {
--- a/libs/proxy/src/Discovery.cpp
+++ b/libs/proxy/src/Discovery.cpp
@@ -127,7 +127,8 @@
 {
   bool isChanged = false;
   for (const NodeAddress& it : aNodes) {
-    isChanged |= mDirectory.Learn(aNow, it);
+    // Anyone may have written an entry.
+    isChanged |= IsUsable(it) && mDirectory.Learn(aNow, it);
   }
   if (isChanged) {
     mLinks.SetLinks(aNow, mDirectory.Links(aNow));
--- a/libs/proxy/src/StoreFollower.cpp
+++ b/libs/proxy/src/StoreFollower.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include "discovery/NodeDirectory.h"
+
 namespace amaranthgap {
 
 namespace {
@@ -54,7 +56,7 @@
     return std::nullopt;
   }
   in >> out.mService; // Empty while no upstream is known.
-  return out;
+  return IsUsable(out) ? std::optional(std::move(out)) : std::nullopt;
 }
 
 } // namespace
--- a/libs/proxy/tests/StoreWatchTest.cpp
+++ b/libs/proxy/tests/StoreWatchTest.cpp
@@ -218,3 +218,27 @@
   CHECK(fleet.Store().CountOf(kEntries) == 0);
   CHECK(fleet.TimeToEntries() < kEntriesBound);
 }
+
+// Guards against an entry of another writer that takes the place of a node, or
+// a place among those that are tried.
+TEST_CASE("odd entries among the nodes in the store leave the others in use")
+{
+  ProxyFleet fleet({ "logs", "crews" });
+  const std::string latest = "18446744073709551615"; // Newer than any run.
+  const std::vector<std::pair<const char*, std::string>> entries{
+    { "n1", latest + " 127.77.0.9:7504 dc1 crews" },
+    { "port", "1 127.77.0.2:99999 dc1 crews" },
+    { "negative", "1 127.77.0.2:-1 dc1 crews" },
+    { "portless", "1 127.77.0.2 dc1 crews" },
+    { "hostless", "1 :7504 dc1 crews" },
+    { "beyond", "18446744073709551616 127.77.0.2:7504 dc1 crews" },
+    { "nested", std::string(1'000'000, '[') },
+    { "empty", "" },
+  };
+  for (const auto& [node, value] : entries) {
+    fleet.Store().Write(std::string(kEntries) + "east/" + node, value);
+  }
+  fleet.Start("1 /crews/ crews MANY 1000");
+  CHECK(fleet.Metric(0, "nodes_known") == 1);
+  CHECK(fleet.CallAndWait(0, "GET", "/crews/1", "id-1").mStatus == 200);
+}
