--- a/libs/proxy/tests/PeerLinksTest.cpp
+++ b/libs/proxy/tests/PeerLinksTest.cpp
@@ -35,6 +35,13 @@
     reply.mOutcome = AttemptOutcome::Answered;
     mConnections[aConnection]->mStream->Write(EncodeFrame(reply));
   }
+  void Refuse(size_t aConnection, uint64_t aCall)
+  {
+    ForwardReply reply;
+    reply.mCall = aCall;
+    reply.mReason = AttemptReason::NoRoom;
+    mConnections[aConnection]->mStream->Write(EncodeFrame(reply));
+  }
   void CloseAll()
   {
     for (const auto& it : mConnections) {
@@ -146,6 +153,26 @@
 
 } // namespace
 
+// Guards against a refusal of an earlier attempt that is taken for the reply to
+// the next one.
+TEST_CASE("a repeated refusal of a peer ends no other attempt")
+{
+  LinkedNode node;
+  std::optional<ForwardReply> first;
+  std::optional<ForwardReply> second;
+  const uint64_t refused = node.Send(false, first);
+  node.Peer().Refuse(0, refused);
+  REQUIRE(node.Until([&] { return first.has_value(); }));
+  const uint64_t answered = node.Send(false, second);
+  node.Peer().Refuse(0, refused);
+  node.Peer().Refuse(0, refused);
+  CHECK_FALSE(
+    node.Until([&] { return second.has_value(); }, milliseconds(100)));
+  node.Peer().Reply(0, answered);
+  REQUIRE(node.Until([&] { return second.has_value(); }));
+  CHECK(second->mOutcome == AttemptOutcome::Answered);
+}
+
 // Guards against the loss of an answer that is ready: non-idempotent attempts
 // were given up when their node was frozen or slow for a second.
 TEST_CASE("non-idempotent attempts wait for a node that is silent for a while")
