Tell the callers of all refused suspects when to come back

A request on probation whose attempt was not sent on got 503 without Retry-After unless its content was quarantined, so that its caller came back at once. Only what is on probation or graver is told on new connections: a crash leaves up to 320 fingerprints, 8 KB for each connection of a node that restarts, and a content in flight at one crash becomes graver at the nodes that know of it.

--- a/libs/forwarding/src/RetryPolicy.cpp
+++ b/libs/forwarding/src/RetryPolicy.cpp
@@ -58,9 +58,6 @@
     return { .mStatus = aReason == AttemptReason::Expired ? kGatewayTimeout
                                                           : kBadGateway };
   }
-  if (aReason == AttemptReason::Quarantined) {
-    return { .mStatus = kUnavailable };
-  }
   return { .mStatus = aReason == AttemptReason::Throttled ||
                           aReason == AttemptReason::NoRoom
                         ? kTooManyRequests
--- a/libs/proxy/include/proxy/Forwarder.h
+++ b/libs/proxy/include/proxy/Forwarder.h
@@ -107,6 +107,11 @@
   void AttemptEnded(TimePoint aNow, Call& aCall, ForwardReply aReply);
   void NoteReply(TimePoint aNow, const Call& aCall, const ForwardReply& aReply);
   void NoteNeed(TimePoint aNow, const Call& aCall, const ForwardReply& aReply);
+  /** @return the seconds after which the caller of a refused request may come
+   * back; nothing if it did not say how long it waits. */
+  std::optional<double> ReturnTime(TimePoint aNow,
+                                   const Call& aCall,
+                                   AttemptReason aReason);
   void GiveUp(TimePoint aNow, Call& aCall, AttemptReason aReason);
   void Answer(Call& aCall, HttpResponse aResponse);
   void Remove(Call& aCall);
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -110,10 +110,12 @@
 {
   std::vector<CrashNotice> out;
   for (const std::string& service : mEvidence.Services()) {
+    // A content that was in flight at one crash becomes graver at the nodes
+    // that know of it, which tell the others.
     const bool isOfPeer =
       service == mOptions.mService && service == aPeer.mService;
     CrashNotice notice = mEvidence.Snapshot(
-      aNow, service, isOfPeer ? Suspicion::Suspect : Suspicion::Quarantined);
+      aNow, service, isOfPeer ? Suspicion::Probation : Suspicion::Quarantined);
     if (!notice.IsEmpty()) {
       out.push_back(std::move(notice));
     }
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -377,26 +377,35 @@
                     mAdmission.AdmittedShare(aCall.mRoute->mName)) } });
 }
 
+std::optional<double>
+Forwarder::ReturnTime(TimePoint aNow, const Call& aCall, AttemptReason aReason)
+{
+  if (aReason == AttemptReason::Quarantined) {
+    const Duration left = mOutlets.mQuarantineLeft(aNow, aCall.mRequest);
+    if (left > Duration::zero()) {
+      return ToSeconds(left);
+    }
+  }
+  if (aCall.mCallerDeadline == TimePoint::max()) {
+    return std::nullopt;
+  }
+  const double left = ToSeconds(aCall.mCallerDeadline - aNow);
+  return std::max(left * mRng.Uniform(kEarliestReturnShare, kReturnShare), 0.0);
+}
+
 void
 Forwarder::GiveUp(TimePoint aNow, Call& aCall, AttemptReason aReason)
 {
-  const FinalRefusal refusal = RefusalFor(aCall.mHistory.mMayHaveRun, aReason);
-  (aCall.mHistory.mMayHaveRun ? mCounts.mFailed : mCounts.mRefused) += 1;
+  const bool mayHaveRun = aCall.mHistory.mMayHaveRun;
+  const FinalRefusal refusal = RefusalFor(mayHaveRun, aReason);
+  (mayHaveRun ? mCounts.mFailed : mCounts.mRefused) += 1;
+  mCounts.mQuarantined += aReason == AttemptReason::Quarantined ? 1 : 0;
   HttpResponse response{ .mStatus = refusal.mStatus };
-  if (aReason == AttemptReason::Quarantined) {
-    ++mCounts.mQuarantined;
-    if (const Duration left = mOutlets.mQuarantineLeft(aNow, aCall.mRequest);
-        !aCall.mHistory.mMayHaveRun && left > Duration::zero()) {
+  if (refusal.mSuggestsRetryAfter) {
+    if (const auto after = ReturnTime(aNow, aCall, aReason)) {
       response.mHeaders.emplace_back("Retry-After",
-                                     fmt::format("{:.0f}", ToSeconds(left)));
+                                     fmt::format("{:.3f}", *after));
     }
-  } else if (refusal.mSuggestsRetryAfter &&
-             aCall.mCallerDeadline != TimePoint::max()) {
-    const double left = ToSeconds(aCall.mCallerDeadline - aNow);
-    const double after =
-      left * mRng.Uniform(kEarliestReturnShare, kReturnShare);
-    response.mHeaders.emplace_back("Retry-After",
-                                   fmt::format("{:.3f}", std::max(after, 0.0)));
   }
   LogEnd(aNow, aCall, aReason, refusal.mStatus);
   Answer(aCall, std::move(response));
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -124,6 +124,17 @@
   SendFor(fleet, seconds(3), send);
   const size_t before = fleet.Crashes().size();
   CHECK(before <= 4);
+  const auto refused =
+    std::find_if(fleet.Requests().rbegin(),
+                 fleet.Requests().rend(),
+                 [](const CrashFleet::Sent& aSent) {
+                   return aSent.mIsCrashing && aSent.mAnswer->mIsDone;
+                 });
+  REQUIRE(refused != fleet.Requests().rend());
+  const HttpResponse& answer = refused->mAnswer->mHttp;
+  CHECK(answer.mStatus == 503);
+  const std::string after(FindHeader(answer.mHeaders, "Retry-After"));
+  CHECK(std::stod(after) > 500); // Left of ten minutes.
   for (size_t n = 0; n < CrashFleet::kEntries + CrashFleet::kUpstreams; ++n) {
     fleet.RestartProxy(n);
     SendFor(fleet, milliseconds(700), send);
