--- a/libs/wire/tests/FrameCodecTest.cpp
+++ b/libs/wire/tests/FrameCodecTest.cpp
@@ -31,6 +31,30 @@
   CHECK(std::get<ForwardReply>(messages[1]).mReason == AttemptReason::PeerLost);
 }
 
+// Guards against messages to a node of an older version, which closes its
+// connection when it cannot read one.
+TEST_CASE("a state of an older node says that it reads no crash notices")
+{
+  NodeState state;
+  state.mNode = "n1";
+  state.mLinkRevision = uint8_t(kLinkRevision);
+  std::string frame = EncodeFrame(state);
+  const char fifteenFields = '\x9f';
+  REQUIRE(frame[5] == fifteenFields);
+  // Without the last field, as nodes sent it before.
+  frame[5] = '\x9e';
+  frame.pop_back();
+  frame[0] = char(frame[0] - 1);
+  FrameReader reader;
+  reader.Feed(frame);
+  const auto read = reader.Next();
+  REQUIRE(read);
+  REQUIRE(read.value());
+  const auto& older = std::get<NodeState>(*read.value());
+  CHECK(older.mNode == "n1");
+  CHECK(older.mLinkRevision == uint8_t(LinkRevision::First));
+}
+
 TEST_CASE("a frame that cannot be read is an error")
 {
   std::string unknownKind = EncodeFrame(LinkProbe{});
