--- a/libs/discovery/src/NodeDirectory.cpp
+++ b/libs/discovery/src/NodeDirectory.cpp
@@ -5,6 +5,7 @@
 
 #include "base/Address.h"
 #include "base/Hash.h"
+#include "base/LatestMoment.h"
 
 namespace amaranthgap {
 
@@ -16,16 +17,14 @@
 constexpr Duration kForgetAfter = seconds(60);
 // Bounds the attempts to connect when a whole region is lost.
 constexpr size_t kMostTriedFactor = 2;
-// The year 2200, in milliseconds of Unix time. A run beyond it would replace
-// the real one for ever.
-constexpr uint64_t kLatestRunMillis = 7'258'118'400'000;
 
 } // namespace
 
 bool
 IsUsable(const NodeAddress& aAddress)
 {
-  return IsConnectable(aAddress.mAddress) && aAddress.mRun <= kLatestRunMillis;
+  return IsConnectable(aAddress.mAddress) &&
+         aAddress.mRun <= kLatestMomentMillis;
 }
 
 NodeDirectory::NodeDirectory(Options aOptions)
--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -64,7 +64,8 @@
 
 private:
   /** Passes on what this node has learnt.
-   * @param aFromRegion where it comes from. */
+   * @param aFromRegion region of the node that told it; empty if it was learnt
+   * from the upstream beside this node. */
   void Tell(const CrashNotice& aNews, std::string_view aFromRegion);
   /** Tells the nodes of other services what is, or was, quarantined. */
   void TellOtherServices(const CrashNotice& aNews);
--- a/libs/proxy/tests/CrashExchangeTest.cpp
+++ b/libs/proxy/tests/CrashExchangeTest.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 const std::string kService = "logs";
-constexpr Duration kSameRegion = milliseconds(1);
-constexpr Duration kOtherRegion = milliseconds(20);
+constexpr Duration kSameRegionDelay = milliseconds(1);
+constexpr Duration kOtherRegionDelay = milliseconds(20);
 
 struct Layout
 {
@@ -187,7 +187,7 @@
   {
     const bool isNear =
       mNodes[aFrom]->mAddress.mRegion == mNodes[aTo]->mAddress.mRegion;
-    mMessages.emplace(mNow + (isNear ? kSameRegion : kOtherRegion),
+    mMessages.emplace(mNow + (isNear ? kSameRegionDelay : kOtherRegionDelay),
                       Message{ aFrom, aTo, aNotice });
   }
   void SendFirst(size_t aFrom, size_t aTo)
@@ -221,7 +221,7 @@
   { "large site", 195, 49, 9, 3 },
   { "two years", 4100, 10, 5, 2 },
 };
-constexpr size_t kSlots = 159;
+constexpr size_t kSlotCount = 159;
 
 } // namespace
 
@@ -234,15 +234,15 @@
   ExchangeFleet fleet(layout);
   for (size_t n = 0; n < 3; ++n) {
     CHECK(fleet.CountWith(Suspicion::Quarantined) == 0);
-    fleet.Crash(n * 4, Others(kSlots, 1000 * n));
+    fleet.Crash(n * 4, Others(kSlotCount, 1000 * n));
     fleet.RunFor(seconds(1));
   }
   CHECK(fleet.CountWith(Suspicion::Quarantined) == layout.mNodes);
   // The budget for control over ten seconds: crashes are rare, and these come
   // from one content that has to be found.
-  constexpr size_t kBudgetBytes = size_t(10) * 9 * 1024;
+  constexpr size_t kMaxBytes = size_t(10) * 9 * 1024;
   INFO("most bytes received by a node: " << fleet.MostBytes());
-  CHECK(fleet.MostBytes() <= kBudgetBytes);
+  CHECK(fleet.MostBytes() <= kMaxBytes);
 }
 
 // Guards against a verdict that is lost with the processes that reached it.
--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -14,7 +14,7 @@
 public:
   static constexpr size_t kEntries = 2;
   static constexpr size_t kUpstreams = 8;
-  static constexpr Duration kWork = milliseconds(60);
+  static constexpr Duration kWorkTime = milliseconds(60);
   static constexpr Duration kDownTime = milliseconds(1500);
   static inline const std::string kCrashingBody = "crash";
 
@@ -157,7 +157,7 @@
       });
       return;
     }
-    After(kWork, [&aConnection, aRequest] {
+    After(kWorkTime, [&aConnection, aRequest] {
       if (aConnection.mIsOpen) {
         FakeUpstream::Respond(aConnection, aRequest, 200, "served");
       }
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -12,7 +12,7 @@
 // The users' bound: this many further runs, sent later than this after the
 // third upstream has crashed.
 constexpr size_t kMaxLateRuns = 3;
-constexpr Duration kTouch = seconds(3);
+constexpr Duration kTouchTime = seconds(3);
 constexpr Duration kOtherPause = milliseconds(20);
 constexpr Duration kCrashingPause = milliseconds(160);
 
@@ -60,7 +60,7 @@
 {
   REQUIRE(aFleet.Crashes().size() >= 3);
   INFO(Timeline(aFleet));
-  const TimePoint bound = aFleet.Crashes()[2].mTime + kTouch;
+  const TimePoint bound = aFleet.Crashes()[2].mTime + kTouchTime;
   CHECK(aFleet.CrashesAfter(bound) <= kMaxLateRuns);
   const size_t others = aFleet.OthersWith(0, bound);
   CHECK(others > 0);
@@ -154,7 +154,7 @@
   fleet.RunFor(seconds(1));
   INFO(Timeline(fleet));
   const TimePoint bound =
-    fleet.Started() + kTouch + CrashFleet::kDownTime + seconds(1);
+    fleet.Started() + kTouchTime + CrashFleet::kDownTime + seconds(1);
   CHECK(fleet.CrashesAfter(bound) == 0);
   CHECK(fleet.OthersWith(200, bound) == fleet.OthersWith(0, bound));
 }
--- a/libs/proxy/tests/MalformedAnswerTest.cpp
+++ b/libs/proxy/tests/MalformedAnswerTest.cpp
@@ -11,7 +11,7 @@
 
 // An upstream that failed gets no requests for a shorter time.
 constexpr Duration kBackoff = milliseconds(220);
-constexpr int kSoundRequests = 4;
+constexpr int kSoundRequestCount = 4;
 
 const std::string kRoutes = "1 /logs/ logs MANY 1000 /book/ logs ONCE 1000 "
                             "/crews/ crews MANY 1000 /visit/ crews ONCE 1000";
@@ -101,7 +101,7 @@
         FakeUpstream::Respond(aConnection, aRequest, 200, "served");
       });
     fleet.RunFor(kBackoff);
-    for (int n = 0; n < kSoundRequests; ++n) {
+    for (int n = 0; n < kSoundRequestCount; ++n) {
       const std::string id = fmt::format("sound-{}-{}", count, n);
       CHECK(fleet.CallAndWait(0, "POST", "/visit/1", id).mBody == "served");
       CHECK(fleet.CallAndWait(1, "GET", "/crews/1", id).mBody == "served");
