--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -7,8 +7,8 @@
 namespace amaranthgap {
 
 /** Entry nodes of the services "crews" and "desk", and eight nodes beside
- * upstreams of "logs", some of whose requests crash the upstream that begins to
- * run them. Not safe for use by several threads. */
+ * upstreams of other services, some of whose requests crash the upstream that
+ * begins to run them. Not safe for use by several threads. */
 class CrashFleet : public ProxyFleet
 {
 public:
@@ -32,8 +32,11 @@
     size_t mNode = 0;
   };
 
-  explicit CrashFleet(const std::string& aRoutes)
-    : ProxyFleet(ServicesOfNodes())
+  /** @param aServices of the eight upstreams. */
+  explicit CrashFleet(const std::string& aRoutes,
+                      std::vector<std::string> aServices =
+                        std::vector<std::string>(kUpstreams, "logs"))
+    : ProxyFleet(ServicesOfNodes(std::move(aServices)))
     , mTimer(Loop())
   {
     for (size_t n = kEntries; n < kEntries + kUpstreams; ++n) {
@@ -101,6 +104,14 @@
     });
   }
 
+  /** Kills the processes of all nodes at once and starts them again. */
+  void RestartAllProxies()
+  {
+    for (size_t n = 0; n < kEntries + kUpstreams; ++n) {
+      RestartProxy(n);
+    }
+  }
+
   /** @return the times at which the crashing request reached an upstream. */
   [[nodiscard]] const std::vector<Crash>& Crashes() const { return mCrashes; }
   [[nodiscard]] const std::vector<Sent>& Requests() const { return mSent; }
@@ -127,11 +138,11 @@
   }
 
 private:
-  static std::vector<std::string> ServicesOfNodes()
+  static std::vector<std::string> ServicesOfNodes(
+    std::vector<std::string> aServices)
   {
-    std::vector<std::string> out{ "crews", "desk" };
-    out.resize(kEntries + kUpstreams, "logs");
-    return out;
+    aServices.insert(aServices.begin(), { "crews", "desk" });
+    return aServices;
   }
 
   void Send(size_t aEntry,
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -143,6 +143,46 @@
   CHECK(fleet.Crashes().size() == before);
 }
 
+// Guards against a verdict that is lost with all processes that hold it.
+TEST_CASE("a crashing request stays refused when all nodes restart at once")
+{
+  CrashFleet fleet(kRoutes);
+  const auto send = [&](size_t aEntry) { fleet.SendCrashing(aEntry, "GET"); };
+  SendFor(fleet, seconds(5), send);
+  const size_t before = fleet.Crashes().size();
+  fleet.RestartAllProxies();
+  fleet.RunFor(kTouchTime);
+  SendFor(fleet, seconds(4), send);
+  INFO(Timeline(fleet));
+  CHECK(fleet.Crashes().size() == before);
+  for (size_t n = 0; n < CrashFleet::kEntries + CrashFleet::kUpstreams; ++n) {
+    CHECK(fleet.Metric(n, "fingerprints_quarantined") > 0);
+  }
+}
+
+// Guards against a service that learns nothing from the crashes of another.
+TEST_CASE(
+  "a crashing request is not tried anew at each service its route moves to")
+{
+  CrashFleet fleet(kRoutes,
+                   { "logs",
+                     "logs",
+                     "logs",
+                     "archive",
+                     "archive",
+                     "archive",
+                     "vault",
+                     "vault" });
+  const auto send = [&](size_t aEntry) { fleet.SendCrashing(aEntry, "GET"); };
+  SendFor(fleet, seconds(6), send);
+  fleet.Store().Write("routes", "2 /logs/ archive MANY 1000");
+  SendFor(fleet, seconds(3), send);
+  fleet.Store().Write("routes", "3 /logs/ vault MANY 1000");
+  SendFor(fleet, seconds(3), send);
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
 // Guards against evidence of one that clears or hides the other.
 TEST_CASE("two crashing requests at once are both found")
 {
