Remember what was in flight at an upstream that falls silent

Cause: runs that ended without an answer were kept for 5 s. An upstream that crashes without a reset is noticed when its next run reports itself; if that was later, the request that had ended it was not among the suspects, and came to one upstream after the other unrecognised.

Runs are now kept until the upstream has answered one that began after them (and for 5 s then, as the answer may come from a next run of the same name), two minutes at most. If there are too many, those lost first are kept: what was sent to a silent upstream cannot have ended it.

--- a/libs/proxy/include/proxy/CrashDetector.h
+++ b/libs/proxy/include/proxy/CrashDetector.h
@@ -56,9 +56,13 @@
 
   /** Records that a run ended without an answer. */
   void RunLost(TimePoint aNow, CrashedRun aRun);
+  /** Records that the upstream has answered a run that began at a time: runs
+   * lost before that did not end it. */
+  void RunAnswered(TimePoint aStarted);
   /** Records that the upstream ended a connection before its answer. */
   void ConnectionLost(TimePoint aNow);
-  /** @return the runs lost of late, which are forgotten. */
+  /** @return the runs that the upstream may have ended with, which are
+   * forgotten. */
   std::vector<CrashedRun> TakeLostRuns(TimePoint aNow);
   /** Connects to the upstream if that is due. */
   void Tick(TimePoint aNow);
@@ -70,13 +74,16 @@
     CrashedRun mRun;
   };
 
-  [[nodiscard]] static bool IsOutdated(TimePoint aNow, const LostRun& aRun);
+  /** @return whether the upstream has answered a later run. */
+  [[nodiscard]] bool IsOutlived(const LostRun& aRun) const;
+  [[nodiscard]] bool IsOutdated(TimePoint aNow, const LostRun& aRun) const;
   void EndProbe();
 
   EventLoop& mLoop;
   std::string mAddress;
   std::function<void(TimePoint)> mOnRefused;
   std::deque<LostRun> mLostRuns; ///< In order of time.
+  TimePoint mLatestAnswered{};   ///< Start of the latest run with an answer.
   bool mNeedsProbe = false;      ///< After a lost connection.
   std::unique_ptr<TcpStream> mProbe;
   TimePoint mProbeStart{};
--- a/libs/proxy/src/CrashDetector.cpp
+++ b/libs/proxy/src/CrashDetector.cpp
@@ -1,5 +1,6 @@
 #include "proxy/CrashDetector.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/EventLoop.h"
@@ -13,8 +14,11 @@
 // does not answer.
 constexpr Duration kLongestRefusal = milliseconds(200);
 constexpr Duration kProbePause = milliseconds(100);
-// The report of the next run may take some seconds.
-constexpr Duration kLostRunExpiry = seconds(5);
+// The report of the next run may take some seconds; until then, an answer may
+// come from a run that has the same name and has not reported itself yet.
+constexpr Duration kReportTime = seconds(5);
+// Longest time for which an upstream is silent before its next run.
+constexpr Duration kLostRunExpiry = minutes(2);
 constexpr size_t kMaxLostRuns = 512;
 
 } // namespace
@@ -29,21 +33,40 @@
 }
 
 bool
-CrashDetector::IsOutdated(TimePoint aNow, const LostRun& aRun)
+CrashDetector::IsOutlived(const LostRun& aRun) const
 {
-  return aNow - aRun.mTime > kLostRunExpiry;
+  return mLatestAnswered > aRun.mTime;
+}
+
+bool
+CrashDetector::IsOutdated(TimePoint aNow, const LostRun& aRun) const
+{
+  return aNow - aRun.mTime > (IsOutlived(aRun) ? kReportTime : kLostRunExpiry);
 }
 
 void
 CrashDetector::RunLost(TimePoint aNow, CrashedRun aRun)
 {
-  while (!mLostRuns.empty() && (mLostRuns.size() >= kMaxLostRuns ||
-                                IsOutdated(aNow, mLostRuns.front()))) {
+  while (!mLostRuns.empty() && IsOutdated(aNow, mLostRuns.front())) {
+    mLostRuns.pop_front();
+  }
+  if (mLostRuns.size() >= kMaxLostRuns) {
+    // If the upstream has been silent since then, the earlier ones were in
+    // flight when it ended.
+    if (!IsOutlived(mLostRuns.front())) {
+      return;
+    }
     mLostRuns.pop_front();
   }
   mLostRuns.push_back({ aNow, std::move(aRun) });
 }
 
+void
+CrashDetector::RunAnswered(TimePoint aStarted)
+{
+  mLatestAnswered = std::max(mLatestAnswered, aStarted);
+}
+
 void
 CrashDetector::ConnectionLost(TimePoint aNow)
 {
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -266,6 +266,7 @@
   }
   FreeSlot(now, attempt, EndOf(reply));
   if (hasRun) {
+    mCrashDetector.RunAnswered(attempt.mStarted);
     mCrashes.Completed(now, attempt.mFingerprints);
   } else if (aEnd == ExchangeEnd::Lost || aEnd == ExchangeEnd::Invalid) {
     NoteLostRun(now, attempt);
