Keep quarantines in the store, for a loss of all nodes and for nodes cut off

What callers saw: once all nodes had restarted together, as after a loss of power, a request known to crash its upstreams crashed three more of them. A node that was cut off from the others learnt it beside its own upstream only, with three crashes more.

Cause: the verdict lived in the nodes. What must last lives in the store. The node that imposes a quarantine writes it there, under a lease that ends with it (two calls for each quarantine, none for crashes or requests), and repeats that while the store is away. Nodes that watch the store read the quarantines when they begin to watch, every 60 s, and after a crash beside them; other nodes read them only when a content goes on probation beside them. What was read is passed on like what a node has learnt. Entries of another writer that cannot be read are logged and passed over.

Ruled out: an entry for each crash, which would cost a write when upstreams end by the dozen; a watch by all nodes, whose calls grow with the fleet.

--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -32,8 +32,18 @@
   };
 
   using PeerFilter = std::function<bool(const Peer&)>;
-  /** Sends a notice to each connected node that the filter selects. */
-  using Send = std::function<void(const CrashNotice&, const PeerFilter&)>;
+
+  struct Outlets
+  {
+    /** Sends a notice to each connected node that the filter selects. */
+    std::function<void(const CrashNotice&, const PeerFilter&)> mSend;
+    /** Keeps quarantines that this node has imposed or ended in the store. */
+    std::function<void(TimePoint, const CrashNotice&)> mKeep;
+    /** Asks for the quarantines in the store, which nodes may have imposed that
+     * this one has no connection to.
+     * @param aIsUrgent whether a request is close to its quarantine. */
+    std::function<void(bool aIsUrgent)> mReadKept;
+  };
 
   struct Options
   {
@@ -42,7 +52,7 @@
     uint64_t mSeed = 1;
   };
 
-  CrashExchange(Logger& aLogger, Options aOptions, Send aSend);
+  CrashExchange(Logger& aLogger, Options aOptions, Outlets aOutlets);
 
   void SetService(const std::string& aService) { mOptions.mService = aService; }
 
@@ -60,6 +70,8 @@
   void Completed(TimePoint aNow, const RequestFingerprints& aFingerprints);
   /** Takes a notice of another node. */
   void Received(TimePoint aNow, const Peer& aFrom, const CrashNotice& aNotice);
+  /** Takes quarantines that were in the store. */
+  void ReadKept(TimePoint aNow, const CrashNotice& aNotice);
   /** @return what a node that has just connected has to know. */
   [[nodiscard]] std::vector<CrashNotice> NoticesFor(TimePoint aNow,
                                                     const Peer& aPeer) const;
@@ -70,13 +82,13 @@
    * @param aFromRegion region of the node that told it; empty if it was learnt
    * from the upstream beside this node. */
   void Tell(const CrashNotice& aNews, std::string_view aFromRegion);
-  /** Tells the nodes of other services what is, or was, quarantined. */
-  void TellOtherServices(const CrashNotice& aNews);
+  /** @return what is, or was, quarantined. */
+  [[nodiscard]] static CrashNotice Verdicts(const CrashNotice& aNews);
   void Log(TimePoint aNow, const CrashNotice& aNews, std::string_view aSource);
 
   Logger& mLogger;
   Options mOptions;
-  Send mSend;
+  Outlets mOutlets;
   Rng mRng;
   CrashEvidence mEvidence{ CrashEvidence::Options{} };
   uint64_t mCrashCount = 0;
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -21,10 +21,12 @@
            .mService = Hash64(aRequest.mService) };
 }
 
-CrashExchange::CrashExchange(Logger& aLogger, Options aOptions, Send aSend)
+CrashExchange::CrashExchange(Logger& aLogger,
+                             Options aOptions,
+                             Outlets aOutlets)
   : mLogger(aLogger)
   , mOptions(std::move(aOptions))
-  , mSend(std::move(aSend))
+  , mOutlets(std::move(aOutlets))
   , mRng(mOptions.mSeed)
 {
 }
@@ -49,6 +51,10 @@
     mEvidence.RecordCrash(aNow, mOptions.mService, crash, aInFlight);
   Log(aNow, news, "crash");
   Tell(news, {});
+  if (const CrashNotice verdicts = Verdicts(news); !verdicts.IsEmpty()) {
+    mOutlets.mKeep(aNow, verdicts);
+  }
+  mOutlets.mReadKept(!news.mRecords.empty());
 }
 
 void
@@ -58,6 +64,9 @@
   const CrashNotice news = mEvidence.RecordCompletion(aNow, aFingerprints);
   Log(aNow, news, "completion");
   Tell(news, {});
+  if (const CrashNotice verdicts = Verdicts(news); !verdicts.IsEmpty()) {
+    mOutlets.mKeep(aNow, verdicts);
+  }
 }
 
 void
@@ -84,7 +93,7 @@
     const CrashNotice suspects{ .mService = aNews.mService,
                                 .mCrash = aNews.mCrash,
                                 .mInFlight = aNews.mInFlight };
-    mSend(suspects, [&](const Peer& aPeer) {
+    mOutlets.mSend(suspects, [&](const Peer& aPeer) {
       return aPeer.mService == aNews.mService &&
              (aFromRegion.empty() || aPeer.mRegion == mOptions.mRegion);
     });
@@ -92,29 +101,39 @@
   if (!aNews.mRecords.empty()) {
     const CrashNotice records{ .mService = aNews.mService,
                                .mRecords = aNews.mRecords };
-    mSend(records,
-          [&](const Peer& aPeer) { return aPeer.mService == aNews.mService; });
-    TellOtherServices(aNews);
+    mOutlets.mSend(records, [&](const Peer& aPeer) {
+      return aPeer.mService == aNews.mService;
+    });
+    if (const CrashNotice verdicts = Verdicts(aNews); !verdicts.IsEmpty()) {
+      mOutlets.mSend(verdicts, [&](const Peer& aPeer) {
+        return aPeer.mService != aNews.mService;
+      });
+    }
   }
 }
 
 void
-CrashExchange::TellOtherServices(const CrashNotice& aNews)
+CrashExchange::ReadKept(TimePoint aNow, const CrashNotice& aNotice)
 {
-  CrashNotice verdicts{ .mService = aNews.mService };
+  const CrashNotice news = mEvidence.Merge(aNow, aNotice);
+  Log(aNow, news, "store");
+  Tell(news, {});
+}
+
+CrashNotice
+CrashExchange::Verdicts(const CrashNotice& aNews)
+{
+  CrashNotice out{ .mService = aNews.mService };
   std::copy_if(aNews.mRecords.begin(),
                aNews.mRecords.end(),
-               std::back_inserter(verdicts.mRecords),
+               std::back_inserter(out.mRecords),
                [](const CrashRecord& aRecord) {
                  return std::any_of(
                    aRecord.mMarks.begin(),
                    aRecord.mMarks.end(),
                    [](const CrashMark& aMark) { return aMark.mIsTrial; });
                });
-  if (!verdicts.IsEmpty()) {
-    mSend(verdicts,
-          [&](const Peer& aPeer) { return aPeer.mService != aNews.mService; });
-  }
+  return out;
 }
 
 std::vector<CrashNotice>
--- a/libs/proxy/src/ProxyParts.h
+++ b/libs/proxy/src/ProxyParts.h
@@ -12,6 +12,7 @@
 #include "proxy/PeerLinks.h"
 #include "proxy/PeerServer.h"
 #include "proxy/ProxyProcess.h"
+#include "proxy/QuarantineRecords.h"
 #include "proxy/UpstreamSide.h"
 
 namespace amaranthgap {
@@ -40,6 +41,7 @@
                 const std::string& aNode,
                 ForwardRequest aRequest,
                 std::function<void(ForwardReply)> aDone);
+  CrashExchange::Outlets CrashOutlets();
   /** Sends a notice once to each connected node that a function selects. */
   void SendCrashes(const CrashNotice& aNotice,
                    const CrashExchange::PeerFilter& aFilter);
@@ -66,6 +68,7 @@
   TimePoint mStarted = EventLoop::Now();
   std::unique_ptr<LeasedStore> mStore;
   CrashExchange mCrashes;
+  QuarantineRecords mQuarantines;
   UpstreamSide mUpstream;
   HeartbeatTracker mHeartbeats;
   Forwarder mForwarder;
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -59,10 +59,13 @@
              { .mRegion = mSettings.mRegion,
                .mService = mSettings.mService,
                .mSeed = mSeed + 4 },
-             [this](const CrashNotice& aNotice,
-                    const CrashExchange::PeerFilter& aFilter) {
-               SendCrashes(aNotice, aFilter);
-             })
+             CrashOutlets())
+  , mQuarantines(mLogger,
+                 *mStore,
+                 { .mWallMillis = WallMillis, .mSeed = mSeed + 5 },
+                 [this](const CrashNotice& aNotice) {
+                   mCrashes.ReadKept(EventLoop::Now(), aNotice);
+                 })
   , mUpstream(mLoop,
               mLogger,
               mCrashes,
@@ -431,6 +434,8 @@
     }
   }
   mCrashes.Expire(aNow);
+  mQuarantines.SetWatching(mDiscovery->IsWatching());
+  mQuarantines.Tick(aNow);
   mLogger.Flush();
   mCallers.CloseOverdue(aNow);
   mReadySide.CloseOverdue(aNow);
--- a/libs/proxy/src/ProxyUpstream.cpp
+++ b/libs/proxy/src/ProxyUpstream.cpp
@@ -89,6 +89,27 @@
   mUpstream.ReturnNotice(aNow, aNotice);
 }
 
+CrashExchange::Outlets
+ProxyProcess::Parts::CrashOutlets()
+{
+  return { .mSend =
+             [this](const CrashNotice& aNotice,
+                    const CrashExchange::PeerFilter& aFilter) {
+               SendCrashes(aNotice, aFilter);
+             },
+           .mKeep =
+             [this](TimePoint aNow, const CrashNotice& aVerdicts) {
+               mQuarantines.Keep(aNow, aVerdicts);
+             },
+           .mReadKept =
+             [this](bool aIsUrgent) {
+               // A node that has lost the others watches the store by itself.
+               if (aIsUrgent || mDiscovery->IsWatching()) {
+                 mQuarantines.ReadSoon();
+               }
+             } };
+}
+
 void
 ProxyProcess::Parts::SendCrashes(const CrashNotice& aNotice,
                                  const CrashExchange::PeerFilter& aFilter)
--- a/libs/proxy/tests/CrashExchangeTest.cpp
+++ b/libs/proxy/tests/CrashExchangeTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 
 #include "base/Hash.h"
 #include "base/Rng.h"
@@ -71,14 +72,24 @@
       CrashExchange::Options{ .mRegion = node.mAddress.mRegion,
                               .mService = node.mAddress.mService,
                               .mSeed = ++mSeed },
-      [this, aNode](const CrashNotice& aNotice,
-                    const CrashExchange::PeerFilter& aFilter) {
-        for (const size_t peer : mNodes[aNode]->mPeers) {
-          if (aFilter(PeerOf(peer)) && IsReachable(aNode, peer)) {
-            Send(aNode, peer, aNotice);
-          }
-        }
-      });
+      CrashExchange::Outlets{
+        .mSend =
+          [this, aNode](const CrashNotice& aNotice,
+                        const CrashExchange::PeerFilter& aFilter) {
+            for (const size_t peer : mNodes[aNode]->mPeers) {
+              if (aFilter(PeerOf(peer)) && IsReachable(aNode, peer)) {
+                Send(aNode, peer, aNotice);
+              }
+            }
+          },
+        .mKeep =
+          [this](TimePoint, const CrashNotice& aVerdicts) {
+            mKept.push_back(aVerdicts);
+          },
+        .mReadKept =
+          [this, aNode](bool aIsUrgent) {
+            mNodes[aNode]->mReadsKept |= aIsUrgent || aNode == mCutNode;
+          } });
   }
 
   /** Exchanges what both ends of each connection send first. */
@@ -94,6 +105,13 @@
 
   /** Cuts a region off from all others, or reconnects all. */
   void Cut(std::string aRegion) { mCutRegion = std::move(aRegion); }
+  /** Cuts a node off from all others, but not from the store. */
+  void CutNode(size_t aNode) { mCutNode = aNode; }
+  /** Holds what is sent to a node until some time has passed. */
+  void Freeze(size_t aNode, Duration aTime)
+  {
+    mNodes[aNode]->mFrozenUntil = mNow + aTime;
+  }
 
   void Crash(size_t aNode, const std::vector<InFlightRequest>& aOthers = {})
   {
@@ -104,6 +122,7 @@
         .mIsTrial =
           exchange.Evidence().StateOf(mNow, kPrints) == Suspicion::Probation });
     mNodes[aNode]->mExchange->Crashed(mNow, inFlight);
+    ReadKept(aNode);
   }
 
   void RunFor(Duration aTime)
@@ -163,6 +182,8 @@
     std::set<size_t> mPeers;
     std::unique_ptr<CrashExchange> mExchange;
     size_t mBytes = 0; ///< Received.
+    bool mReadsKept = false;
+    TimePoint mFrozenUntil{};
   };
   struct Message
   {
@@ -182,6 +203,9 @@
   }
   [[nodiscard]] bool IsReachable(size_t aFrom, size_t aTo) const
   {
+    if (aFrom == mCutNode || aTo == mCutNode) {
+      return false;
+    }
     const std::string& from = mNodes[aFrom]->mAddress.mRegion;
     const std::string& to = mNodes[aTo]->mAddress.mRegion;
     return from == to || (from != mCutRegion && to != mCutRegion);
@@ -190,9 +214,19 @@
   {
     const bool isNear =
       mNodes[aFrom]->mAddress.mRegion == mNodes[aTo]->mAddress.mRegion;
-    mMessages.emplace(mNow + (isNear ? kSameRegionDelay : kOtherRegionDelay),
+    const TimePoint arrival =
+      mNow + (isNear ? kSameRegionDelay : kOtherRegionDelay);
+    mMessages.emplace(std::max(arrival, mNodes[aTo]->mFrozenUntil),
                       Message{ aFrom, aTo, aNotice });
   }
+  void ReadKept(size_t aNode)
+  {
+    if (std::exchange(mNodes[aNode]->mReadsKept, false)) {
+      for (const CrashNotice& it : mKept) {
+        mNodes[aNode]->mExchange->ReadKept(mNow, it);
+      }
+    }
+  }
   void SendFirst(size_t aFrom, size_t aTo)
   {
     for (const CrashNotice& it :
@@ -205,6 +239,8 @@
   std::vector<std::unique_ptr<Node>> mNodes;
   std::multimap<TimePoint, Message> mMessages;
   std::string mCutRegion;
+  std::optional<size_t> mCutNode;
+  std::vector<CrashNotice> mKept; ///< In the store.
   TimePoint mNow{ seconds(100) };
   uint64_t mSeed = 0;
 };
@@ -291,3 +327,42 @@
   fleet.RunFor(seconds(1));
   CHECK(fleet.CountWith(Suspicion::Quarantined) == layout.mNodes);
 }
+
+// Guards against three more crashes beside each node that is cut off.
+TEST_CASE("a node that is cut off reads a quarantine at its first crash")
+{
+  const Layout layout = GENERATE(from_range(kLayouts));
+  INFO(layout.mName);
+  ExchangeFleet fleet(layout);
+  constexpr size_t kCutNode = 9;
+  fleet.CutNode(kCutNode);
+  for (size_t n = 0; n < 3; ++n) {
+    fleet.Crash(n);
+    fleet.RunFor(seconds(1));
+  }
+  CHECK(fleet.StateOf(kCutNode) == Suspicion::Clear);
+  fleet.Crash(kCutNode);
+  CHECK(fleet.StateOf(kCutNode) == Suspicion::Quarantined);
+}
+
+// Guards against what was sent to a frozen node, and against its crash, if they
+// are taken in the wrong order.
+TEST_CASE("a node that was frozen knows what crashed meanwhile")
+{
+  const Layout layout = GENERATE(from_range(kLayouts));
+  INFO(layout.mName);
+  ExchangeFleet fleet(layout);
+  constexpr size_t kFrozenNode = 5;
+  fleet.Crash(0);
+  fleet.RunFor(seconds(1));
+  fleet.Freeze(kFrozenNode, seconds(5));
+  fleet.Crash(1);
+  fleet.RunFor(seconds(1));
+  fleet.Crash(2);
+  fleet.RunFor(seconds(1));
+  CHECK(fleet.StateOf(kFrozenNode) == Suspicion::Suspect);
+  // Its upstream has crashed while it was frozen, which it notices first.
+  fleet.Crash(kFrozenNode);
+  fleet.RunFor(seconds(5));
+  CHECK(fleet.CountWith(Suspicion::Quarantined) == layout.mNodes);
+}
