Take no memory for the length that a damaged frame claims

A frame of ten bytes from another node may claim a list of four billion elements; msgpack then asked for 137 GB before it looked at the bytes that follow. Lists are now limited to 100,000 elements or the size of the frame, and to a depth of 32, as in the codec of the node command.

--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -1,5 +1,6 @@
 #include "wire/FrameCodec.h"
 
+#include <algorithm>
 #include <array>
 
 namespace amaranthgap {
@@ -8,6 +9,8 @@
 
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kCompactBytes = size_t(16) * 1024;
+constexpr size_t kMaxElements = 100'000; // In one list.
+constexpr size_t kMaxDepth = 32;
 
 template<size_t Index = 0>
 LinkMessage
@@ -31,6 +34,21 @@
                     reply->mReason <= AttemptReason::CallerGone);
 }
 
+/** Reads the next value. A list takes memory by the length that it claims,
+ * which may be far above the number of bytes that follow. */
+msgpack::object_handle
+Unpack(const char* aData, size_t aSize, size_t& aOffset)
+{
+  const size_t elements = std::min(aSize, kMaxElements);
+  return msgpack::unpack(
+    aData,
+    aSize,
+    aOffset,
+    nullptr,
+    nullptr,
+    msgpack::unpack_limit(elements, elements, aSize, aSize, aSize, kMaxDepth));
+}
+
 Error
 Malformed(const char* aDetail)
 {
@@ -87,8 +105,8 @@
   try {
     size_t offset = 0;
     const char* data = rest.data() + kLengthBytes;
-    const auto kind = msgpack::unpack(data, size, offset);
-    const auto body = msgpack::unpack(data, size, offset);
+    const auto kind = Unpack(data, size, offset);
+    const auto body = Unpack(data, size, offset);
     auto message = Convert(kind.get().as<uint8_t>(), body.get());
     if (!HasValidEnums(message)) {
       return Malformed("value out of range");
