Do not take a failed run for one that completed

What callers saw: a request that crashes its upstreams was sent on without an end if one of its attempts was answered 504 now and then, as a full upstream does with a request whose time is over before it gets a slot.

Cause: any answer of the upstream cleared the suspicion, also that of a request that never began to run, or that failed before it came to what crashes the upstream. Only an answer below 500 clears it now.

Found by reading the code for what else clears evidence.

--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -252,6 +252,9 @@
   ForwardReply reply =
     JudgeResponse(mOptions.mHeaders, aEnd, std::move(aResponse));
   const bool hasRun = reply.mOutcome == AttemptOutcome::Answered;
+  // After a failure the upstream may not have come to what crashes it: the
+  // request may have waited for a slot until its time was over.
+  const bool hasCompleted = hasRun && !IsServerFailure(reply.mHttp.mStatus);
   const bool isOfCurrentRun =
     attempt.mRequest.mInstance == Instance() &&
     attempt.mRunStartedMillis == mNotices.StartedMillis();
@@ -267,7 +270,9 @@
   FreeSlot(now, attempt, EndOf(reply));
   if (hasRun) {
     mCrashDetector.RunAnswered(attempt.mStarted);
-    mCrashes.Completed(now, attempt.mFingerprints);
+    if (hasCompleted) {
+      mCrashes.Completed(now, attempt.mFingerprints);
+    }
   } else if (aEnd == ExchangeEnd::Lost || aEnd == ExchangeEnd::Invalid) {
     NoteLostRun(now, attempt);
     mCrashDetector.ConnectionLost(now);
--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -59,6 +59,10 @@
   /** Sets the time from the start of a crashing run to the crash. */
   void SetCrashDelay(Duration aTime) { mCrashDelay = aTime; }
 
+  /** Lets every so many arrivals of the crashing request wait at the upstream
+   * until its time is over, so that it does not begin to run. */
+  void SetTimeoutEvery(size_t aCount) { mTimeoutEvery = aCount; }
+
   /** Calls a function after some time. */
   void After(Duration aTime, std::function<void()> aFunction)
   {
@@ -176,6 +180,11 @@
              const HttpRequest& aRequest)
   {
     if (aRequest.mBody == kCrashingBody) {
+      ++mCrashingArrivals;
+      if (mTimeoutEvery > 0 && mCrashingArrivals % mTimeoutEvery == 0) {
+        FakeUpstream::Respond(aConnection, aRequest, 504, "no slot");
+        return;
+      }
       After(mCrashDelay, [this, aNode, &aConnection] {
         if (aConnection.mIsOpen) {
           CrashUpstream(aNode);
@@ -236,6 +245,8 @@
   std::vector<Crash> mCrashes;
   std::vector<std::string> mInstances{ kEntries + kUpstreams, "i" };
   Duration mCrashDelay{};
+  size_t mTimeoutEvery = 0; ///< 0 for never.
+  size_t mCrashingArrivals = 0;
   int mRestarts = 0;
   TimePoint mStarted{};
   Timer mTimer;
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -95,6 +95,18 @@
   CheckLateRuns(fleet);
 }
 
+// Guards against a 504 of a request that never ran, taken as its completion.
+TEST_CASE("a crashing request that times out in a queue stays under suspicion")
+{
+  CrashFleet fleet(kRoutes);
+  fleet.SetTimeoutEvery(3);
+  SendFor(fleet, seconds(8), [&](size_t aEntry) {
+    fleet.SendCrashing(aEntry, "GET");
+  });
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
 // Guards against a call whose parent comes again, with a new id each time.
 TEST_CASE("a call that crashes its upstreams is not sent on to all others")
 {
