--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -75,7 +75,8 @@
   /** @return what a node that has just connected has to know. */
   [[nodiscard]] std::vector<CrashNotice> NoticesFor(TimePoint aNow,
                                                     const Peer& aPeer) const;
-  void Expire(TimePoint aNow) { mEvidence.Expire(aNow); }
+  /** Removes what is outdated. */
+  void Expire(TimePoint aNow);
 
 private:
   /** Passes on what this node has learnt.
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -120,6 +120,14 @@
   Tell(news, {});
 }
 
+void
+CrashExchange::Expire(TimePoint aNow)
+{
+  for (const CrashNotice& it : mEvidence.Expire(aNow)) {
+    Log(aNow, it, "expiry");
+  }
+}
+
 CrashNotice
 CrashExchange::Verdicts(const CrashNotice& aNews)
 {
--- a/libs/quarantine/include/quarantine/CrashEvidence.h
+++ b/libs/quarantine/include/quarantine/CrashEvidence.h
@@ -100,8 +100,10 @@
   /** Takes a notice of another node.
    * @return the part of it that was unknown here, and what is known better. */
   CrashNotice Merge(TimePoint aNow, const CrashNotice& aNotice);
-  /** Removes what is outdated. */
-  void Expire(TimePoint aNow);
+  /** Removes what is outdated.
+   * @return what is no longer quarantined since the previous call, because its
+   * time is over; a notice each. */
+  std::vector<CrashNotice> Expire(TimePoint aNow);
 
   /** @return the entries of a service that have reached a state, the gravest
    * first. */
@@ -169,6 +171,7 @@
   Options mOptions;
   std::unordered_map<uint64_t, Entry> mEntries;
   RecentCompletions mRecent;
+  TimePoint mLatestExpire{};
 };
 
 } // namespace amaranthgap
--- a/libs/quarantine/src/CrashEvidence.cpp
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -335,13 +335,23 @@
   return out;
 }
 
-void
+std::vector<CrashNotice>
 CrashEvidence::Expire(TimePoint aNow)
 {
+  std::vector<CrashNotice> out;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    if (HasFailedTrial(entry.mMarks) && entry.mQuarantineEnd <= aNow &&
+        entry.mQuarantineEnd > mLatestExpire) {
+      out.push_back({ .mService = entry.mService,
+                      .mRecords = { RecordOf(aNow, fingerprint, entry) } });
+    }
+  }
+  mLatestExpire = aNow;
   mRecent.Expire(aNow, mOptions);
   std::erase_if(mEntries, [&](const auto& aPair) {
     return aNow - aPair.second.mLatest >= mOptions.mExpiry;
   });
+  return out;
 }
 
 CrashNotice
--- a/libs/quarantine/tests/CrashEvidenceTest.cpp
+++ b/libs/quarantine/tests/CrashEvidenceTest.cpp
@@ -214,6 +214,27 @@
   CHECK(group.At(0).IsEmpty());
 }
 
+// Guards against an operator who is not told that a request is let through
+// again.
+TEST_CASE("the end of a quarantine is told once")
+{
+  CrashEvidence evidence(CrashEvidence::Options{});
+  for (uint64_t crash = 1; crash <= 3; ++crash) {
+    evidence.RecordCrash(
+      kStart,
+      kService,
+      crash,
+      { { .mFingerprints = Prints(7), .mIsTrial = crash == 3 } });
+  }
+  CHECK(evidence.Expire(kStart + minutes(10) - milliseconds(1)).empty());
+  const auto ended = evidence.Expire(kStart + minutes(10));
+  REQUIRE(ended.size() == 2); // Of the content, and of it from its caller.
+  CHECK(ended[0].mService == kService);
+  REQUIRE(ended[0].mRecords.size() == 1);
+  CHECK(ended[0].mRecords[0].mQuarantineMs == 0);
+  CHECK(evidence.Expire(kStart + minutes(10) + milliseconds(1)).empty());
+}
+
 // Guards against suspects that push the requests known to crash out of a full
 // table.
 TEST_CASE("a full table of evidence keeps what is quarantined")
