--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -4,16 +4,12 @@
 
 #include <fmt/format.h>
 
-#include "proxy/ProxyMetrics.h"
-
 namespace amaranthgap {
 
 namespace {
 
 constexpr Duration kTick = milliseconds(20);
 constexpr Duration kSlowTick = milliseconds(100);
-// A node that could not list the others is ready after this time all the same.
-constexpr Duration kListPatience = seconds(3);
 // New requests are taken for this long after SIGTERM: callers turn away after
 // two missed questions a second apart.
 constexpr Duration kTakeAfterTerm = milliseconds(2600);
@@ -22,10 +18,6 @@
 // Others are told of a load this often while it is worth telling.
 constexpr Duration kReportPause = milliseconds(500);
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 uint64_t
 DrawSeed()
 {
@@ -332,50 +324,6 @@
   mDiscovery->PeerState(aNow, aState);
 }
 
-bool
-ProxyProcess::Parts::IsReady(TimePoint aNow) const
-{
-  return mRoutes && !mShutdownSince &&
-         (mDiscovery->IsListed() || aNow - mStarted > kListPatience);
-}
-
-HttpResponse
-ProxyProcess::Parts::AnswerReady(const HttpRequest& aRequest) const
-{
-  if (aRequest.mPath == "/metrics") {
-    return { .mStatus = kOk,
-             .mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } },
-             .mBody = MetricsText() };
-  }
-  if (aRequest.mPath != mBinding.mReadyPath) {
-    return { .mStatus = kNotFound };
-  }
-  return { .mStatus = IsReady(EventLoop::Now()) ? kOk : kUnavailable };
-}
-
-std::string
-ProxyProcess::Parts::MetricsText() const
-{
-  return FormatMetrics({ .mCounts = mForwarder.Counts(),
-                         .mInFlight = mForwarder.InFlight(),
-                         .mUpstreamInFlight = mUpstream.InFlight(),
-                         .mUpstreamSent = mUpstream.SentCount(),
-                         .mUpstreamCrashes = mCrashes.CrashCount(),
-                         .mOnProbation = mCrashes.Evidence().CountOf(
-                           EventLoop::Now(), Suspicion::Probation),
-                         .mQuarantined = mCrashes.Evidence().CountOf(
-                           EventLoop::Now(), Suspicion::Quarantined),
-                         .mUpstreamRateLimit = mUpstream.RateLimit(),
-                         .mResponseBytes = mUpstream.ResponseBytes(),
-                         .mCallerConnections = mCallers.Connections(),
-                         .mConnectedPeers = mLinks.Connected(),
-                         .mKnownNodes = mDiscovery->KnownNodes(),
-                         .mWatchesStore = mDiscovery->IsWatching(),
-                         .mReachesStore = mDiscovery->ReachesStore(),
-                         .mStoreEra = mDiscovery->StoreEra(),
-                         .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 });
-}
-
 void
 ProxyProcess::Parts::StartShutdown(TimePoint aNow)
 {
