--- a/libs/proxy/tests/CrashExchangeTest.cpp
+++ b/libs/proxy/tests/CrashExchangeTest.cpp
@@ -328,6 +328,26 @@
   CHECK(fleet.CountWith(Suspicion::Quarantined) == layout.mNodes);
 }
 
+// Guards against three more crashes in each region that is cut off.
+TEST_CASE("a region that is cut off reads a quarantine at its second crash")
+{
+  const Layout layout = GENERATE(from_range(kLayouts));
+  INFO(layout.mName);
+  ExchangeFleet fleet(layout);
+  fleet.Cut("r1");
+  for (const char* region : { "r0", "r1" }) {
+    const std::vector<size_t> nodes = fleet.ServiceNodesIn(region);
+    const size_t count = region == std::string("r0") ? 3 : 2;
+    for (size_t n = 0; n < count; ++n) {
+      fleet.Crash(nodes[n]);
+      fleet.RunFor(seconds(1));
+    }
+  }
+  for (const size_t node : fleet.ServiceNodesIn("r1")) {
+    CHECK(fleet.StateOf(node) == Suspicion::Quarantined);
+  }
+}
+
 // Guards against three more crashes beside each node that is cut off.
 TEST_CASE("a node that is cut off reads a quarantine at its first crash")
 {
