Try a request that crashed three upstreams at one node of its service only

What callers saw: copies of a crashing request that came together crashed an upstream each, again and again in waves some seconds apart: each node may try what is on probation once at a time, so that six trials of eight copies failed at once.

Cause: "one at a time" held for a node, and not for the service. From three crashes on a request is now confined: one node of the service tries it, chosen by rendezvous hash among the nodes that take work and that each node is connected to. The others answer that it is suspected, which sends it on to another node and counts neither as load nor as a failure of that node; so does a second suspect at one node from now on, which was counted as a full upstream before.

Ruled out: a message for each trial, which delays it by a round trip and is lost in a cut; a quarantine after three crashes without a trial, which a loss of power would impose on what all upstreams of a data centre were running.

--- a/libs/forwarding/src/RetryPolicy.cpp
+++ b/libs/forwarding/src/RetryPolicy.cpp
@@ -26,6 +26,7 @@
     case AttemptReason::NotConnected:
     case AttemptReason::PeerLost:
     case AttemptReason::Quarantined:
+    case AttemptReason::Suspected:
       return true;
     default:
       return false;
--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/Ids.h"
 #include "base/Logger.h"
 #include "base/Rng.h"
 #include "quarantine/CrashEvidence.h"
@@ -43,10 +44,13 @@
      * this one has no connection to.
      * @param aIsUrgent whether a request is close to its quarantine. */
     std::function<void(bool aIsUrgent)> mReadKept;
+    /** @return the connected nodes of the same service that take work. */
+    std::function<std::vector<NodeId>()> mServiceNodes;
   };
 
   struct Options
   {
+    std::string mNode;
     std::string mRegion;
     std::string mService; ///< Of the upstream beside this node.
     uint64_t mSeed = 1;
@@ -61,6 +65,10 @@
    */
   [[nodiscard]] Duration QuarantineLeft(TimePoint aNow,
                                         const ForwardRequest& aRequest) const;
+  /** @return whether this node is the one of its service that tries a request,
+   * as far as it knows the others. */
+  [[nodiscard]] bool IsTrialNode(
+    const RequestFingerprints& aFingerprints) const;
   /** @return the number of crashes of the upstream beside this node. */
   [[nodiscard]] uint64_t CrashCount() const { return mCrashCount; }
 
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -146,6 +146,8 @@
   /** @return why a request must not run now because of earlier crashes. */
   [[nodiscard]] AttemptReason ReasonToHold(TimePoint aNow,
                                            const Attempt& aAttempt) const;
+  /** @return why a trial of a suspect must not run now. */
+  [[nodiscard]] AttemptReason ReasonToHoldTrial(const Attempt& aAttempt) const;
   std::unique_ptr<ClientConnection> TakeConnection(TimePoint aNow);
   /** Logs what the upstream cannot take, once a second. */
   void LogOverload(TimePoint aNow);
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -41,6 +41,15 @@
   return mEvidence.QuarantineLeft(aNow, FingerprintsOf(aRequest));
 }
 
+bool
+CrashExchange::IsTrialNode(const RequestFingerprints& aFingerprints) const
+{
+  std::vector<NodeId> nodes = mOutlets.mServiceNodes();
+  nodes.push_back({ mOptions.mNode });
+  return CrashCorrelator::DesignatedNode(aFingerprints.mOfContent, nodes) ==
+         NodeId{ mOptions.mNode };
+}
+
 void
 CrashExchange::Crashed(TimePoint aNow,
                        const std::vector<InFlightRequest>& aInFlight)
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -48,7 +48,8 @@
               .mCollectsLines = true })
   , mStore(mBinding.mOpenStore(mLoop, mSettings.mStoreAddress))
   , mCrashes(mLogger,
-             { .mRegion = mSettings.mRegion,
+             { .mNode = mSettings.mNodeId,
+               .mRegion = mSettings.mRegion,
                .mService = mSettings.mService,
                .mSeed = mSeed + 4 },
              CrashOutlets())
--- a/libs/proxy/src/UpstreamCrash.cpp
+++ b/libs/proxy/src/UpstreamCrash.cpp
@@ -45,18 +45,28 @@
   switch (mCrashes.Evidence().StateOf(aNow, aAttempt.mFingerprints)) {
     case Suspicion::Quarantined:
       return AttemptReason::Quarantined;
+    case Suspicion::Confined:
+      return mCrashes.IsTrialNode(aAttempt.mFingerprints)
+               ? ReasonToHoldTrial(aAttempt)
+               : AttemptReason::Suspected;
     case Suspicion::Probation:
-      // Its attempt before this one may have crashed an upstream just now.
-      if (aAttempt.mRequest.mIsRetry) {
-        return AttemptReason::Quarantined;
-      }
-      // Of two in flight, a crash would not tell which one caused it.
-      return mTrialCount > 0 ? AttemptReason::NoRoom : AttemptReason::None;
+      return ReasonToHoldTrial(aAttempt);
     default:
       return AttemptReason::None;
   }
 }
 
+AttemptReason
+UpstreamSide::ReasonToHoldTrial(const Attempt& aAttempt) const
+{
+  // Its attempt before this one may have crashed an upstream just now.
+  if (aAttempt.mRequest.mIsRetry) {
+    return AttemptReason::Quarantined;
+  }
+  // Of two in flight, a crash would not tell which one caused it.
+  return mTrialCount > 0 ? AttemptReason::Suspected : AttemptReason::None;
+}
+
 void
 UpstreamSide::Crashed(TimePoint aNow, CrashSign aSign)
 {
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -197,8 +197,8 @@
   const ExecutionId id = aAttempt.mId;
   const HeaderNames& names = mOptions.mHeaders;
   aAttempt.mIsRunning = true;
-  aAttempt.mIsTrial = mCrashes.Evidence().StateOf(
-                        aNow, aAttempt.mFingerprints) == Suspicion::Probation;
+  aAttempt.mIsTrial =
+    IsTried(mCrashes.Evidence().StateOf(aNow, aAttempt.mFingerprints));
   mTrialCount += aAttempt.mIsTrial ? 1 : 0;
   aAttempt.mStarted = aNow;
   aAttempt.mRunStartedMillis = mNotices.StartedMillis();
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -95,6 +95,25 @@
   CheckLateRuns(fleet);
 }
 
+// Guards against copies that are each tried by another node.
+TEST_CASE(
+  "copies of a crashing request that come together are not tried at once")
+{
+  CrashFleet fleet(kRoutes);
+  constexpr size_t kCopies = 8;
+  SendFor(
+    fleet,
+    seconds(13),
+    [&](size_t) {
+      for (size_t n = 0; n < kCopies; ++n) {
+        fleet.SendCrashing(n % CrashFleet::kEntries, "GET");
+      }
+    },
+    seconds(4));
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
 // Guards against a 504 of a request that never ran, taken as its completion.
 TEST_CASE("a crashing request that times out in a queue stays under suspicion")
 {
--- a/libs/quarantine/src/CrashEvidence.cpp
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -12,6 +12,9 @@
 
 // Uncleared crashes from which on a request runs on probation.
 constexpr size_t kCrashesToProbation = 2;
+// Uncleared crashes from which on one node of the service tries it: copies that
+// come together must not crash an upstream each.
+constexpr size_t kCrashesToConfinement = 3;
 constexpr size_t kMaxMarks = 8;
 // Most entries of a snapshot, which is sent on each new connection.
 constexpr size_t kMaxSnapshotEntries = 512;
@@ -100,7 +103,10 @@
     return Suspicion::Quarantined;
   }
   const size_t count = UnclearedCount(aEntry.mMarks);
-  if (hasFailedTrial || count >= kCrashesToProbation) {
+  if (hasFailedTrial || count >= kCrashesToConfinement) {
+    return Suspicion::Confined;
+  }
+  if (count >= kCrashesToProbation) {
     return Suspicion::Probation;
   }
   return count > 0 ? Suspicion::Suspect : Suspicion::Clear;
@@ -112,7 +118,7 @@
   const Suspicion gravest = StateOf(aNow, aEntry);
   return gravest == Suspicion::Quarantined &&
              !HasCrashed(aEntry.mMarks, aService)
-           ? Suspicion::Probation
+           ? Suspicion::Confined
            : gravest;
 }
 
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -225,6 +225,7 @@
   NoTarget,        ///< No target takes work.
   Throttled,       ///< Refused at its entry because of load below.
   CallerGone,      ///< The caller closed its connection.
+  Suspected,       ///< Under suspicion; another one runs, or runs elsewhere.
 };
 
 template<>
@@ -260,6 +261,7 @@
     std::pair{ AttemptReason::NoTarget, std::string_view{ "no-target" } },
     std::pair{ AttemptReason::Throttled, std::string_view{ "throttled" } },
     std::pair{ AttemptReason::CallerGone, std::string_view{ "caller-gone" } },
+    std::pair{ AttemptReason::Suspected, std::string_view{ "suspected" } },
   };
 };
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -31,7 +31,7 @@
 {
   const auto* reply = std::get_if<ForwardReply>(&aMessage);
   return !reply || (reply->mOutcome <= AttemptOutcome::MayHaveRun &&
-                    reply->mReason <= AttemptReason::CallerGone);
+                    reply->mReason <= AttemptReason::Suspected);
 }
 
 /** Reads the next value. A list takes memory by the length that it claims,
