Let the running request of a test outlast a slow machine

Cause: the running request had a time limit of 3 s, and the 240 requests before the check took longer than that. Its calls then had no running parent and were throttled, which is allowed.

The request now has a limit of 60 s, and the test demands that it still runs at the check, which it assumed before.

--- a/libs/proxy/tests/ProxyTest.cpp
+++ b/libs/proxy/tests/ProxyTest.cpp
@@ -278,7 +278,7 @@
 TEST_CASE("a call of a running request is never throttled")
 {
   ProxyFleet fleet({ "logs", "crews" });
-  fleet.Start("1 /logs/ logs MANY 5000 /crews/ crews MANY 5000");
+  fleet.Start("1 /logs/ logs MANY 60000 /crews/ crews MANY 5000");
   Connection* root = nullptr;
   HttpRequest rootRequest;
   fleet.At(0).mUpstream->SetBehaviour(
@@ -287,7 +287,7 @@
       rootRequest = aRequest;
     });
   fleet.At(1).mUpstream->SetBehaviour([](Connection&, const HttpRequest&) {});
-  const auto running = fleet.Call(0, "GET", "/logs/1", "root");
+  const auto running = fleet.Call(0, "GET", "/logs/1", "root", 60000);
   REQUIRE(fleet.Until([&] { return root != nullptr; }));
   // Calls of nobody fill the slots of the service below for over a second, so
   // that its entry node has learned of the overload.
@@ -310,5 +310,6 @@
     fleet.Call(0, "GET", "/crews/1", "root/" + std::to_string(n), 500);
   }
   fleet.RunFor(milliseconds(300));
+  REQUIRE_FALSE(running->mIsDone);
   CHECK(throttled() == count);
 }
