Test the store client of the node command with odd answers

Other operators report odd entries that end the processes which read them. Doc comments of what reads quarantines.

--- a/libs/platform/tests/HttpKeyValueStoreTest.cpp
+++ b/libs/platform/tests/HttpKeyValueStoreTest.cpp
@@ -105,6 +105,31 @@
         0);
 }
 
+// Guards against another writer's entry that ends the process or is taken for a
+// value.
+TEST_CASE("odd answers of the store name no value", "[platform]")
+{
+  const std::string deep(1'000'000, '[');
+  for (const std::string& body :
+       { deep,
+         "{\"revision\":4,\"more\":" + deep,
+         "{\"revision\":4,\"more\":" + deep + std::string(1'000'000, ']') +
+           ",\"value\":7}",
+         std::string(R"({"revision":-1,"value":""})"),
+         std::string(R"({"revision":1e400,"value":""})"),
+         std::string(R"({"revision":18446744073709551616,"value":""})"),
+         std::string(R"({"revision":4,"value":"?"})"),
+         std::string(R"({"value":""})"),
+         std::string("\xff\xfe") }) {
+    INFO(body.substr(0, 40));
+    ScriptedServer server(Http(200, body));
+    HttpKeyValueStore store(server.Address());
+    const auto answer = store.Execute(Ask(StoreOperation::Read));
+    CHECK(answer.mVerdict == StoreVerdict::NotDone);
+    CHECK(answer.mCurrent.mValue.empty());
+  }
+}
+
 TEST_CASE("a write names the expected revision", "[platform]")
 {
   ScriptedServer server(Http(200, R"({"revision":4})"));
--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -14,6 +14,8 @@
 
 namespace amaranthgap {
 
+/** @return fingerprints of a request by its host name, method, path and body.
+ */
 [[nodiscard]] RequestFingerprints
 FingerprintsOf(const ForwardRequest& aRequest);
 
--- a/libs/proxy/include/proxy/QuarantineRecords.h
+++ b/libs/proxy/include/proxy/QuarantineRecords.h
@@ -38,8 +38,9 @@
   /** Writes quarantines, and removes those that are over before their time.
    * Repeats the calls while the store is unavailable. */
   void Keep(TimePoint aNow, const CrashNotice& aVerdicts);
-  /** Reads all quarantines. */
+  /** Reads all quarantines with the next Tick(). */
   void ReadSoon() { mIsReadDue = true; }
+  /** Starts or ends the periodic reading, which begins at once. */
   void SetWatching(bool aWatches);
   /** Makes the calls that are due. */
   void Tick(TimePoint aNow);
