--- a/review/standins/target.py
+++ b/review/standins/target.py
@@ -56,7 +56,7 @@
         self.state = "ready"
         if self.server is None:
             self.server = await asyncio.start_server(
-                self._serve, host, int(port), limit=1 << 24)
+                self._serve, host, int(port), limit=1 << 24, backlog=1024)
         self.beats = asyncio.create_task(self._beat())
         self.record("target-started", address=self.address, service=service,
                     instance=self.lifetime.instance, born=self.lifetime.born)
