Review: requests that wait at a gate run at a target of another service

When the address of a silent target goes to a target of another service, the requests that wait at the gate of the proxy beside it are sent to the new target, with its own instance as the expected one (rule ROUTE).

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+. "$(dirname "$0")/../standins/play.sh"
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -83,6 +83,7 @@
         self.control = free_address()
         self.peer = free_address()
         self.app = free_address()
+        self.store_address = None
         self.process = None
         self.log = None
         self.target = None
@@ -95,7 +96,7 @@
             "listen.outbound": self.outbound, "listen.ready": self.ready,
             "listen.control": self.control, "ip": "127.0.0.1",
             "internalPorts.0": self.peer.rsplit(":", 1)[1],
-            "platform.address": self.fleet.store.address,
+            "platform.address": self.store_address,
             "bounds.graceS": str(GRACE_S),
         }
         text = (ROOT / self.fleet.role["template"]).read_text()
@@ -194,6 +195,7 @@
         self.configure()
         release_addresses()
         for it in self.machines:
+            it.store_address = await self.store.add_address(it.name)
             await it.start()
         for it in self.machines:
             it.target = target_class(self.record, it.app, it.control)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -20,15 +20,32 @@
         self.last_lease = 0
         self.changed = asyncio.Event()
         self.address = None
-        self.server = None
+        self.servers = []
+        self.rejected = set()
+        self.connections = set()
         self.tasks = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self.address = await self.add_address("any")
         self.tasks.add(asyncio.create_task(self._expire()))
 
+    async def add_address(self, machine):
+        """Returns an address at which one machine calls the store, so that it
+        can be turned away alone."""
+        server = await asyncio.start_server(
+            lambda *streams: self._serve(machine, *streams), "127.0.0.1", 0,
+            backlog=1024)
+        self.servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def reject(self, machines):
+        """Answers the calls of these machines with 503 from now on, and cuts
+        their waiting watches."""
+        self.rejected = set(machines)
+        for machine, writer in list(self.connections):
+            if machine in self.rejected:
+                writer.close()
+
     def put(self, key, value, lease=0):
         self.revision += 1
         created = self.items[key][2] if key in self.items else self.revision
@@ -63,10 +80,14 @@
             for lease in [n for n, (_, end) in self.leases.items() if end < now]:
                 self._end_lease(lease)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, machine, reader, writer):
+        self.connections.add((machine, writer))
         try:
             while (request := await http1.read_message(reader)) is not None:
-                status, body = await self._answer(request)
+                if machine in self.rejected:
+                    status, body = 503, {}
+                else:
+                    status, body = await self._answer(request)
                 writer.write(http1.format_response(
                     status, {"Content-Type": "application/json"},
                     json.dumps(body).encode()))
@@ -74,6 +95,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections.discard((machine, writer))
             writer.close()
 
     async def _answer(self, request):
