Ask an upstream from before its node's start whether it leaves

Cause: acknowledged ends are kept in the memory of the node beside the upstream and of its peers. When all restart together, the first report of any run put it into use, and a delayed one of the run that had left was enough.

Ruled out: the end in the store (away or restored at that moment, a read for each start), more copies at peers (all may die together), the second report alone (sound upstreams idle for 1.5 s more after each loss of all nodes).

Change: a run that began before its node is unconfirmed until a status check with its identifier says that it is ready, or, without a usable answer, until it reports again. It needs no state, so that further kills, a restored store and a moved clock change nothing. A run that began with the node is used at once.

--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -21,14 +21,21 @@
   Duration mColdRemaining{};  ///< Remaining warm-up time after the start.
   int64_t mStartedMillis = 0; ///< Start time by the upstream's wall clock.
   uint64_t mSequence = 0;     ///< Increases with each report of a run.
+
+  [[nodiscard]] bool IsSameRun(const UpstreamReport& aOther) const
+  {
+    return mInstance == aOther.mInstance &&
+           mStartedMillis == aOther.mStartedMillis;
+  }
 };
 
 /** Result of processing a report. */
 enum class ReportOutcome : uint8_t
 {
-  Current,   ///< Newer than the latest known report.
-  Stale,     ///< From an earlier run, or not newer than the latest report.
-  OtherHost, ///< From an upstream that is not beside this node.
+  Current,     ///< Newer than the latest known report.
+  Unconfirmed, ///< Of a run that is not used before its status is checked.
+  Stale,       ///< From an earlier run, or not newer than the latest report.
+  OtherHost,   ///< From an upstream that is not beside this node.
 };
 
 template<>
@@ -36,18 +43,56 @@
 {
   static constexpr std::array kNames{
     std::pair{ ReportOutcome::Current, std::string_view{ "current" } },
+    std::pair{ ReportOutcome::Unconfirmed, std::string_view{ "unconfirmed" } },
     std::pair{ ReportOutcome::Stale, std::string_view{ "stale" } },
     std::pair{ ReportOutcome::OtherHost, std::string_view{ "other-host" } },
   };
 };
 
+/** What an upstream says when its status is checked. */
+enum class StatusVerdict : uint8_t
+{
+  Unknown,  ///< No usable answer.
+  Ready,    ///< It considers itself sound and does not leave.
+  NotReady, ///< It leaves or fails.
+};
+
+template<>
+struct EnumNames<StatusVerdict>
+{
+  static constexpr std::array kNames{
+    std::pair{ StatusVerdict::Unknown, std::string_view{ "unknown" } },
+    std::pair{ StatusVerdict::Ready, std::string_view{ "ready" } },
+    std::pair{ StatusVerdict::NotReady, std::string_view{ "not-ready" } },
+  };
+};
+
+/** Result of a status check of the upstream. */
+struct UpstreamStatus
+{
+  StatusVerdict mVerdict = StatusVerdict::Unknown;
+  std::string mInstance; ///< Of the upstream that answered; empty if unknown.
+};
+
 /** Keeps the newest report of the upstream beside a node; reports may arrive in
- * any order. Not thread-safe. */
+ * any order.
+ *
+ * A run that began before this node may have announced its end to an earlier
+ * process of the node, so its first report does not put it into use: it may be
+ * a late one. The run is confirmed by a status check, which it answers only
+ * while it does not leave, or, if checks give no usable answer, by a further
+ * report. Not thread-safe. */
 class HeartbeatTracker
 {
 public:
-  /** @param aAddress of the upstream beside this node. */
-  explicit HeartbeatTracker(std::string aAddress);
+  struct Options
+  {
+    std::string mAddress; ///< Of the upstream beside this node.
+    int64_t mNodeStartedMillis =
+      0; ///< Start of this process by the wall clock.
+  };
+
+  explicit HeartbeatTracker(Options aOptions);
 
   ReportOutcome Offer(TimePoint aNow, const UpstreamReport& aReport);
   /** Records that a run announced its end, or tells in its answers that it
@@ -58,12 +103,20 @@
   bool Ended(TimePoint aNow,
              const std::string& aInstance,
              int64_t aStartedMillis);
+  /** Takes the result of a status check.
+   * @param aChecked report of the run that was unconfirmed when it began.
+   * @return whether that run is confirmed and now the current one. */
+  bool StatusChecked(TimePoint aNow,
+                     const UpstreamReport& aChecked,
+                     const UpstreamStatus& aStatus);
 
-  /** @return the newest report, or null if there is none. */
+  /** @return the newest report of the current run, or null if there is none. */
   [[nodiscard]] const UpstreamReport* Latest() const;
-  [[nodiscard]] TimePoint LastHeard() const { return mLastHeard; }
-  /** @return whether a report is known and the upstream has announced neither
-   * draining nor its end. */
+  /** @return the newest report of a run whose status has to be checked before
+   * it is used, or null if there is none. */
+  [[nodiscard]] const UpstreamReport* Unconfirmed() const;
+  /** @return whether a run is known that has announced neither draining nor its
+   * end. */
   [[nodiscard]] bool TakesWork() const;
 
 private:
@@ -75,14 +128,28 @@
     TimePoint mTime{};
   };
 
+  /** Run that is not confirmed yet. */
+  struct Candidate
+  {
+    UpstreamReport mReport; ///< The newest.
+    uint64_t mFirstSequence = 0;
+    TimePoint mFirstHeard{};
+    bool mIsDenied = false; ///< A status check has spoken against it.
+  };
+
   /** @return whether the run of a report has announced its end. */
   [[nodiscard]] bool HasEnded(TimePoint aNow,
                               const UpstreamReport& aReport) const;
+  /** @return whether the run of a report began no earlier than this node. */
+  [[nodiscard]] bool BeganWithNode(const UpstreamReport& aReport) const;
+  ReportOutcome OfferToCurrent(const UpstreamReport& aReport);
+  ReportOutcome OfferCandidate(TimePoint aNow, const UpstreamReport& aReport);
+  void SetCurrent(TimePoint aNow, const UpstreamReport& aReport);
 
-  std::string mAddress;
-  std::optional<UpstreamReport> mLatest;
+  Options mOptions;
+  std::optional<UpstreamReport> mLatest; ///< Of the current run.
+  std::optional<Candidate> mCandidate;
   std::vector<EndedRun> mEndedRuns; ///< Of other instances; the latest few.
-  TimePoint mLastHeard{};
   bool mEnded = false;
 };
 
--- a/libs/forwarding/tests/HeartbeatTrackerTest.cpp
+++ b/libs/forwarding/tests/HeartbeatTrackerTest.cpp
@@ -23,6 +23,16 @@
            .mSequence = aSequence };
 }
 
+// Start of a node that knows nothing of its upstream, by the wall clock.
+constexpr int64_t kNodeStart = 1'000'000;
+
+HeartbeatTracker
+RestartedTracker()
+{
+  return HeartbeatTracker(
+    { .mAddress = "10.0.0.1:80", .mNodeStartedMillis = kNodeStart });
+}
+
 } // namespace
 
 TEST_CASE("a delayed report is ignored")
@@ -40,7 +50,7 @@
   };
   for (const Case& it : cases) {
     INFO(it.mName);
-    HeartbeatTracker log("10.0.0.1:80");
+    HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
     REQUIRE(log.Offer(kNow, MakeReport("new", 2000, 5)) ==
             ReportOutcome::Current);
     CHECK(log.Offer(kNow, it.mDelayed) == ReportOutcome::Stale);
@@ -51,7 +61,7 @@
 
 TEST_CASE("a restarted run with the same id replaces the earlier one")
 {
-  HeartbeatTracker log("10.0.0.1:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
   log.Offer(kNow, MakeReport("a", 1000, 50, true));
   CHECK_FALSE(log.TakesWork());
   CHECK(log.Offer(kNow, MakeReport("a", 2000, 1)) == ReportOutcome::Current);
@@ -60,12 +70,12 @@
 
 TEST_CASE("a draining or ended run takes no work, whatever it reports later")
 {
-  HeartbeatTracker log("10.0.0.1:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
   log.Offer(kNow, MakeReport("a", 1000, 1, true));
   log.Offer(kNow, MakeReport("a", 1000, 2, false));
   CHECK_FALSE(log.TakesWork());
 
-  HeartbeatTracker other("10.0.0.1:80");
+  HeartbeatTracker other({ .mAddress = "10.0.0.1:80" });
   other.Offer(kNow, MakeReport("a", 1000, 1));
   CHECK_FALSE(other.Ended(kNow, "b", 0));
   CHECK(other.TakesWork());
@@ -78,7 +88,7 @@
 
 TEST_CASE("a report of an upstream at another address is rejected")
 {
-  HeartbeatTracker log("10.0.0.2:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.2:80" });
   CHECK(log.Offer(kNow, MakeReport("a", 1000, 1)) == ReportOutcome::OtherHost);
   CHECK(log.Latest() == nullptr);
 }
@@ -88,7 +98,7 @@
 // late report of that run afterwards.
 TEST_CASE("a run that ended takes no work when its report comes afterwards")
 {
-  HeartbeatTracker log("10.0.0.1:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
   CHECK_FALSE(log.Ended(kNow, "a", 1000));
   log.Offer(kNow + seconds(2), MakeReport("a", 1000, 9));
   CHECK_FALSE(log.TakesWork());
@@ -99,11 +109,11 @@
 
 TEST_CASE("an end without a start holds for the time that a report may be late")
 {
-  HeartbeatTracker log("10.0.0.1:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
   log.Ended(kNow, "a", 0);
   log.Offer(kNow + seconds(2), MakeReport("a", 0, 9));
   CHECK_FALSE(log.TakesWork());
-  HeartbeatTracker other("10.0.0.1:80");
+  HeartbeatTracker other({ .mAddress = "10.0.0.1:80" });
   other.Ended(kNow, "a", 0);
   other.Offer(kNow + seconds(40), MakeReport("a", 0, 1));
   CHECK(other.TakesWork());
@@ -112,7 +122,7 @@
 // Guards against the late end of an earlier run that stops its successor.
 TEST_CASE("the end of an earlier run with the same id changes nothing")
 {
-  HeartbeatTracker log("10.0.0.1:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
   log.Offer(kNow, MakeReport("a", 2000, 1));
   CHECK_FALSE(log.Ended(kNow, "a", 1000));
   CHECK(log.TakesWork());
@@ -123,7 +133,7 @@
 // Guards against an end that is forgotten for that of an earlier instance.
 TEST_CASE("the ends of several instances are kept")
 {
-  HeartbeatTracker log("10.0.0.1:80");
+  HeartbeatTracker log({ .mAddress = "10.0.0.1:80" });
   log.Ended(kNow, "b", 2000);
   log.Ended(kNow, "a", 1000);
   log.Offer(kNow + seconds(1), MakeReport("b", 2000, 9));
@@ -131,3 +141,109 @@
   log.Offer(kNow + seconds(1), MakeReport("b", 3000, 1));
   CHECK(log.TakesWork());
 }
+
+// Guards against new work for an upstream whose end was acknowledged by a
+// process that is gone, as are all others that knew of it: a report from before
+// the end arrives late at its successor.
+TEST_CASE("a late report does not put a run from before the node into use")
+{
+  HeartbeatTracker log = RestartedTracker();
+  const auto late = MakeReport("a", kNodeStart - 9000, 40);
+  CHECK(log.Offer(kNow, late) == ReportOutcome::Unconfirmed);
+  CHECK(log.Offer(kNow, late) == ReportOutcome::Stale);
+  CHECK_FALSE(log.TakesWork());
+  REQUIRE(log.Unconfirmed() != nullptr);
+  const std::vector<UpstreamStatus> against{
+    { StatusVerdict::NotReady, "a" }, { StatusVerdict::NotReady, "" },
+    { StatusVerdict::Unknown, "" },   { StatusVerdict::Unknown, "a" },
+    { StatusVerdict::Ready, "" },     { StatusVerdict::Ready, "b" },
+  };
+  for (const UpstreamStatus& it : against) {
+    CHECK_FALSE(log.StatusChecked(kNow + seconds(2), late, it));
+    CHECK_FALSE(log.TakesWork());
+  }
+}
+
+TEST_CASE("a run that is ready by its status is used with its first report")
+{
+  HeartbeatTracker log = RestartedTracker();
+  const auto report = MakeReport("a", kNodeStart - 9000, 40);
+  log.Offer(kNow, report);
+  CHECK(log.StatusChecked(kNow, report, { StatusVerdict::Ready, "a" }));
+  CHECK(log.TakesWork());
+  CHECK(log.Unconfirmed() == nullptr);
+  // An answer that comes after another run has reported itself says nothing
+  // of that one.
+  HeartbeatTracker other = RestartedTracker();
+  other.Offer(kNow, report);
+  other.Offer(kNow, MakeReport("a", kNodeStart - 5000, 20));
+  CHECK_FALSE(other.StatusChecked(kNow, report, { StatusVerdict::Ready, "a" }));
+  CHECK_FALSE(other.TakesWork());
+}
+
+// Guards against a sound upstream that is left out because its status cannot be
+// read, or says that it is not ready.
+TEST_CASE("a run that goes on reporting is used without a status")
+{
+  struct Case
+  {
+    UpstreamStatus mStatus;
+    Duration mTime;
+  };
+  for (const Case& it :
+       { Case{ { StatusVerdict::Unknown, "" }, milliseconds(1500) },
+         Case{ { StatusVerdict::Ready, "" }, milliseconds(1500) },
+         Case{ { StatusVerdict::NotReady, "a" }, seconds(31) } }) {
+    HeartbeatTracker log = RestartedTracker();
+    log.Offer(kNow, MakeReport("a", kNodeStart - 9000, 40));
+    const auto again = MakeReport("a", kNodeStart - 9000, 41);
+    CHECK(log.Offer(kNow + milliseconds(100), again) ==
+          ReportOutcome::Unconfirmed);
+    CHECK_FALSE(log.StatusChecked(kNow + milliseconds(100), again, it.mStatus));
+    CHECK(log.StatusChecked(kNow + it.mTime, again, it.mStatus));
+    CHECK(log.TakesWork());
+  }
+}
+
+TEST_CASE("a run that began with its node or later is used at once")
+{
+  struct Case
+  {
+    const char* mName;
+    UpstreamReport mReport;
+    bool mIsUsed;
+  };
+  const std::vector<Case> cases{
+    { "shortly before the node", MakeReport("a", kNodeStart - 300, 2), true },
+    { "after the node", MakeReport("a", kNodeStart + 60'000, 1), true },
+    { "before a clock that was set back",
+      MakeReport("a", kNodeStart + 60'000, 40),
+      false },
+    { "before a node that was restarted",
+      MakeReport("a", kNodeStart - 900, 2),
+      false },
+    { "long before the node", MakeReport("a", kNodeStart - 5000, 2), false },
+  };
+  for (const Case& it : cases) {
+    INFO(it.mName);
+    HeartbeatTracker log = RestartedTracker();
+    log.Offer(kNow, it.mReport);
+    CHECK(log.TakesWork() == it.mIsUsed);
+  }
+}
+
+TEST_CASE("a run that ends before it is confirmed is known to have ended")
+{
+  const int64_t started = GENERATE(kNodeStart - 9000, int64_t(0));
+  HeartbeatTracker log = RestartedTracker();
+  const auto report = MakeReport("a", kNodeStart - 9000, 40);
+  log.Offer(kNow, report);
+  CHECK(log.Ended(kNow, "a", started));
+  CHECK_FALSE(log.StatusChecked(kNow, report, { StatusVerdict::Ready, "a" }));
+  CHECK(log.Latest() != nullptr);
+  CHECK_FALSE(log.TakesWork());
+  // Its next run is another one.
+  CHECK(log.Offer(kNow, MakeReport("a", kNodeStart + 100, 1)) ==
+        ReportOutcome::Current);
+  CHECK(log.TakesWork());
+}
--- a/libs/proxy/include/proxy/Binding.h
+++ b/libs/proxy/include/proxy/Binding.h
@@ -24,6 +24,7 @@
   /** Proof of the upstream that it gave this answer. */
   std::string_view mSignature;
   std::string_view mExpectedInstance; ///< The one upstream that may run it.
+  std::string_view mInstance;         ///< Upstream that answers a status check.
   std::string_view mNotExecuted;      ///< The upstream did not run it.
   /** Service of the host at which the request entered. */
   std::string_view mCallerService;
--- a/libs/proxy/src/ProxyParts.h
+++ b/libs/proxy/src/ProxyParts.h
@@ -13,6 +13,7 @@
 #include "proxy/PeerServer.h"
 #include "proxy/ProxyProcess.h"
 #include "proxy/QuarantineRecords.h"
+#include "proxy/StatusCheck.h"
 #include "proxy/UpstreamSide.h"
 
 namespace amaranthgap {
@@ -52,6 +53,11 @@
                       int64_t aStartedMillis);
   /** Takes over what is known of the upstream. */
   void ApplyReport(TimePoint aNow);
+  /** Checks the status of an upstream that is not confirmed yet. */
+  void CheckStatus(TimePoint aNow);
+  void StatusChecked(TimePoint aNow,
+                     const UpstreamReport& aChecked,
+                     const UpstreamStatus& aStatus);
   /** Takes what the upstream told before this process started. */
   void NoticeReturned(TimePoint aNow,
                       const NodeAddress& aPeer,
@@ -71,6 +77,7 @@
   QuarantineRecords mQuarantines;
   UpstreamSide mUpstream;
   HeartbeatTracker mHeartbeats;
+  StatusCheck mStatusCheck;
   Forwarder mForwarder;
   CallerSide mCallers;
   CallerSide mReadySide;
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -65,7 +65,12 @@
               { .mAddress = mSettings.mUpstreamAddress,
                 .mHeaders = mBinding.mHeaders,
                 .mReadNotice = mBinding.mReadNotice })
-  , mHeartbeats(mSettings.mUpstreamAddress)
+  , mHeartbeats({ .mAddress = mSettings.mUpstreamAddress,
+                  .mNodeStartedMillis = int64_t(mRun) })
+  , mStatusCheck(mLoop,
+                 { .mAddress = mSettings.mUpstreamAddress,
+                   .mHeaders = mBinding.mHeaders,
+                   .mReadNotice = mBinding.mReadNotice })
   , mForwarder(
       mLogger,
       { .mService = mSettings.mService,
@@ -316,6 +321,7 @@
   mCallers.SetLimits(table->Limits());
   ++mRevision;
   mDiscovery->RoutesTaken(table->Version());
+  CheckStatus(EventLoop::Now());
 }
 
 void
--- a/libs/proxy/src/ProxyUpstream.cpp
+++ b/libs/proxy/src/ProxyUpstream.cpp
@@ -46,6 +46,7 @@
                     { "started", std::to_string(end.mStartedMillis) } });
   }
   ApplyReport(now);
+  CheckStatus(now);
   return { .mStatus = kOk,
            .mHeaders = { { "Content-Type", "application/json" } },
            .mBody = "{}" };
@@ -60,6 +61,46 @@
   }
 }
 
+void
+ProxyProcess::Parts::CheckStatus(TimePoint aNow)
+{
+  const UpstreamReport* run = mHeartbeats.Unconfirmed();
+  if (!run || mStatusCheck.IsUnderWay() || !mRoutes) {
+    return;
+  }
+  const ServiceOptions* service = mRoutes->FindService(run->mService);
+  if (!service) {
+    return; // Until the operators configure it, it gets no requests.
+  }
+  if (service->mHealthPath.empty()) {
+    StatusChecked(aNow, UpstreamReport(*run), {});
+  } else {
+    mStatusCheck.Start(service->mHealthPath,
+                       [this, checked = *run](const UpstreamStatus& aStatus) {
+                         StatusChecked(EventLoop::Now(), checked, aStatus);
+                       });
+  }
+}
+
+void
+ProxyProcess::Parts::StatusChecked(TimePoint aNow,
+                                   const UpstreamReport& aChecked,
+                                   const UpstreamStatus& aStatus)
+{
+  const bool isConfirmed = mHeartbeats.StatusChecked(aNow, aChecked, aStatus);
+  mLogger.Write(aNow,
+                LogLevel::Info,
+                "upstream-checked",
+                { { "instance", aChecked.mInstance },
+                  { "started", std::to_string(aChecked.mStartedMillis) },
+                  { "verdict", std::string(ToName(aStatus.mVerdict)) },
+                  { "answered_by", aStatus.mInstance },
+                  { "confirmed", isConfirmed ? "yes" : "no" } });
+  if (isConfirmed) {
+    ApplyReport(aNow);
+  }
+}
+
 void
 ProxyProcess::Parts::UpstreamLeaves(TimePoint aNow,
                                     const std::string& aInstance,
--- a/libs/proxy/tests/FakeUpstream.h
+++ b/libs/proxy/tests/FakeUpstream.h
@@ -26,6 +26,16 @@
   };
   using Behaviour = std::function<void(Connection&, const HttpRequest&)>;
 
+  static constexpr std::string_view kStatusPath = "/status";
+
+  /** What the upstream says of itself. */
+  struct Status
+  {
+    std::string mInstance;
+    bool mIsReady = true;
+    bool mIsSilent = false;
+  };
+
   FakeUpstream(EventLoop& aLoop, const std::string& aAddress)
     : mLoop(aLoop)
     , mAddress(aAddress)
@@ -79,6 +89,8 @@
   {
     mBehaviour = std::move(aBehaviour);
   }
+  /** @return the answer to the next status checks, which count as no runs. */
+  Status& StatusAnswer() { return mStatus; }
   [[nodiscard]] int RunsOf(const std::string& aId) const
   {
     const auto it = mRuns.find(aId);
@@ -109,6 +121,10 @@
               if (!connection.mIsOpen) {
                 return; // This upstream has crashed.
               }
+              if (request->mHttp.mPath == kStatusPath) {
+                AnswerStatus(connection);
+                continue;
+              }
               mRequests.push_back(request->mHttp);
               ++mRuns[std::string(
                 FindHeader(request->mHttp.mHeaders, "Test-Id"))];
@@ -119,8 +135,20 @@
           [&connection](StreamEnd) { connection.mIsOpen = false; } });
   }
 
+  void AnswerStatus(Connection& aConnection) const
+  {
+    if (!mStatus.mIsSilent) {
+      const HttpResponse response{
+        .mStatus = mStatus.mIsReady ? 200 : 503,
+        .mHeaders = { { "Test-Instance", mStatus.mInstance } },
+      };
+      aConnection.mStream->Write(FormatResponse(response, true, false));
+    }
+  }
+
   EventLoop& mLoop;
   std::string mAddress;
+  Status mStatus;
   std::unique_ptr<TcpListener> mListener; ///< Null after Crash().
   Behaviour mBehaviour;
   std::vector<std::unique_ptr<Connection>> mConnections;
--- a/libs/proxy/tests/ProxyFleet.h
+++ b/libs/proxy/tests/ProxyFleet.h
@@ -15,6 +15,12 @@
 public:
   static constexpr Duration kPatience = seconds(10);
 
+  static int64_t WallMillis()
+  {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+  }
+
   struct Node
   {
     std::string mHost;
@@ -24,6 +30,7 @@
     std::string mService;
     uint32_t mSlots = 10;
     uint64_t mSequence = 0;
+    int64_t mUpstreamStartedMillis = WallMillis();
     bool mIsStopped = false;
   };
 
@@ -104,15 +111,32 @@
     REQUIRE(answer->mHttp.mStatus == 200);
   }
 
+  /** Lets the upstream of a node announce its end. */
+  void Deregister(size_t aNode)
+  {
+    const Node& node = *mNodes[aNode];
+    auto answer =
+      Send(node.mHost + ":7503",
+           { .mMethod = "POST",
+             .mPath = "/end",
+             .mBody = node.mUpstream->StatusAnswer().mInstance + ' ' +
+                      std::to_string(node.mUpstreamStartedMillis) });
+    REQUIRE(Until([&] { return answer->mIsDone; }));
+    REQUIRE(answer->mHttp.mStatus == 200);
+  }
+
   /** As Report(), without waiting for the answer. */
   std::shared_ptr<Answer> StartReport(size_t aNode,
                                       bool aDraining,
                                       const std::string& aInstance = "i")
   {
     Node& node = *mNodes[aNode];
-    const std::string body = aInstance + std::to_string(aNode) + ' ' +
-                             node.mService + ' ' + (aDraining ? "1" : "0") +
-                             ' ' + std::to_string(++node.mSequence);
+    const std::string instance = aInstance + std::to_string(aNode);
+    node.mUpstream->StatusAnswer().mInstance = instance;
+    const std::string body = instance + ' ' + node.mService + ' ' +
+                             (aDraining ? "1" : "0") + ' ' +
+                             std::to_string(++node.mSequence) + ' ' +
+                             std::to_string(node.mUpstreamStartedMillis);
     return Send(node.mHost + ":7503",
                 { .mMethod = "POST", .mPath = "/", .mBody = body });
   }
@@ -223,13 +247,15 @@
                      .mTimeLeft = "Test-Left",
                      .mSignature = "Test-Signature",
                      .mExpectedInstance = "Test-Expected",
+                     .mInstance = "Test-Instance",
                      .mNotExecuted = "Test-Not-Run",
                      .mCallerService = "Test-Caller" };
     out.mReadyPath = "/ready";
     out.mRoutesKey = "routes";
     out.mReadRoutes = ReadRoutes;
     out.mReadUpstream = [&aNode](const HttpRequest& aRequest) {
-      return ReadReport(aNode, aRequest.mBody);
+      return aRequest.mPath == "/end" ? ReadEnd(aRequest.mBody)
+                                      : ReadReport(aNode, aRequest.mBody);
     };
     out.mReadNotice = ReadNotice;
     out.mParentId = [](std::string_view aId) {
@@ -261,7 +287,8 @@
                                   .mIdempotent = kind == "MANY",
                                   .mTimeout = milliseconds(timeout),
                                   .mMaxAttempts = 2 });
-      content.mServices[service] = {};
+      content.mServices[service] = { .mHealthPath =
+                                       std::string(FakeUpstream::kStatusPath) };
     }
     return RouteTable::Build(std::move(content));
   }
@@ -276,7 +303,16 @@
     return out;
   }
 
-  /** Reads `INSTANCE SERVICE DRAINING SEQUENCE`. */
+  /** Reads `INSTANCE STARTED`. */
+  static Result<UpstreamMessage> ReadEnd(const std::string& aBody)
+  {
+    std::istringstream in(aBody);
+    UpstreamEnd out;
+    in >> out.mInstance >> out.mStartedMillis;
+    return UpstreamMessage{ std::move(out) };
+  }
+
+  /** Reads `INSTANCE SERVICE DRAINING SEQUENCE STARTED`. */
   static Result<UpstreamMessage> ReadReport(const Node& aNode,
                                             const std::string& aBody)
   {
@@ -284,7 +320,7 @@
     UpstreamReport out{ .mAddress = aNode.mHost + ":7500",
                         .mSlots = aNode.mSlots };
     if (!(in >> out.mInstance >> out.mService >> out.mDraining >>
-          out.mSequence)) {
+          out.mSequence >> out.mStartedMillis)) {
       return Error{ Step::Decode, "test", "not a report" };
     }
     return UpstreamMessage{ std::move(out) };
