End what was admitted for an upstream when the next one has its address

Cause: instance and service were compared when an attempt arrived. A report of the next run replaced run and slots below the queue, and the header for the expected instance named the run of that moment, so that the next upstream had no reason to refuse.

Ruled out: a wrong choice at the entry node, which had chosen by the state of before; the check on arrival, which works.

Change: when a run is replaced, what waits at the gate or for a connection is refused as not run, what was sent ends as "may have run", and idle connections are dropped. The expected instance is the one that the attempt is for. What was never sent is no suspect of a crash any more.

--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -64,6 +64,9 @@
   /** @return whether the connection is idle and can take another request. */
   [[nodiscard]] bool IsReusable(TimePoint aNow) const;
   [[nodiscard]] bool IsBusy() const;
+  /** @return whether the connection was established; before that, nothing of
+   * the request is sent. */
+  [[nodiscard]] bool IsConnected() const;
   /** @return the bytes of memory that the response takes so far. */
   [[nodiscard]] size_t BufferedBytes() const;
   /** @return whether the connection has completed an earlier request. */
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -177,6 +177,12 @@
   return mParts->mDoneCallback != nullptr;
 }
 
+bool
+ClientConnection::IsConnected() const
+{
+  return mParts->mStream->IsConnected();
+}
+
 size_t
 ClientConnection::BufferedBytes() const
 {
--- a/libs/net/include/net/TcpStream.h
+++ b/libs/net/include/net/TcpStream.h
@@ -68,6 +68,8 @@
   /** @return the bytes not yet written to the socket. */
   [[nodiscard]] size_t UnsentBytes() const;
   [[nodiscard]] bool IsOpen() const;
+  /** @return whether the connection was established. */
+  [[nodiscard]] bool IsConnected() const;
   [[nodiscard]] const std::string& Peer() const;
 
 private:
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -359,6 +359,12 @@
   return !mParts->mClosing && !mParts->mCloseWhenSent;
 }
 
+bool
+TcpStream::IsConnected() const
+{
+  return mParts->mConnected;
+}
+
 const std::string&
 TcpStream::Peer() const
 {
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -134,6 +134,13 @@
    * @param aHasRun whether the upstream ran the request. */
   void NoteAnswer(TimePoint aNow, const AnswerNotice& aNotice, bool aHasRun);
   void Refuse(ExecutionId aExecution, AttemptReason aReason);
+  /** @return whether a request was admitted for the run that now takes work. */
+  [[nodiscard]] bool IsForCurrentRun(const ForwardRequest& aRequest) const;
+  /** Refuses what waits at the gate. */
+  void RefuseWaiting(AttemptReason aReason);
+  /** Ends what was admitted for a run that has been replaced. What was not sent
+   * to it, as it waits at the gate or for a connection, has not run. */
+  void EndAttempts(TimePoint aNow);
   void Finish(ExecutionId aExecution, ForwardReply aReply);
   void SetDown(const char* aReason);
   /** Notes a run that ended without an answer. */
--- a/libs/proxy/src/UpstreamCrash.cpp
+++ b/libs/proxy/src/UpstreamCrash.cpp
@@ -32,7 +32,8 @@
     return out; // What still runs has not been sent yet.
   }
   for (const auto& [id, attempt] : mAttempts) {
-    if (attempt->mIsRunning && !std::exchange(attempt->mIsCrashed, true)) {
+    if (attempt->mIsRunning && attempt->mConnection->IsConnected() &&
+        !std::exchange(attempt->mIsCrashed, true)) {
       out.push_back(CrashedRunOf(aNow, *attempt));
     }
   }
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -43,84 +43,6 @@
 
 UpstreamSide::~UpstreamSide() = default;
 
-void
-UpstreamSide::SetReport(TimePoint aNow,
-                        const UpstreamReport& aReport,
-                        bool aTakesWork)
-{
-  const bool isOtherRun = aReport.mInstance != Instance() ||
-                          aReport.mStartedMillis != mNotices.StartedMillis();
-  if (isOtherRun && !Instance().empty()) {
-    Crashed(aNow, CrashSign::Restarted);
-  }
-  const auto notice = Notice();
-  const bool wasLeaving = notice && notice->mIsLeaving;
-  const bool isLeaving = !aTakesWork;
-  const bool changed = aReport.mInstance != Instance() ||
-                       aReport.mService != mService ||
-                       aTakesWork != TakesWork() || aReport.mSlots != mSlots ||
-                       isLeaving != wasLeaving;
-  mNotices.SetRun(
-    aNow, mGate.Rate(), aReport.mInstance, aReport.mStartedMillis, isLeaving);
-  mPlan.SetRateLimit(RateLimit());
-  mService = aReport.mService;
-  mSlots = aReport.mSlots;
-  mTakesWork = aTakesWork && !mStopped;
-  mIsDown = false;
-  mGate.SetSlots(mTakesWork ? mSlots : 0);
-  mPlan.SetLimit(mGate.Limit());
-  if (!mTakesWork) {
-    for (const ExecutionId it : mGate.RemoveAll()) {
-      Refuse(it, AttemptReason::Leaving);
-    }
-  }
-  if (changed && mOnChange) {
-    mOnChange();
-  }
-}
-
-void
-UpstreamSide::ReturnNotice(TimePoint aNow, const UpstreamNotice& aNotice)
-{
-  mNotices.Returned(aNow, mGate.Rate(), aNotice);
-  mPlan.SetRateLimit(RateLimit());
-}
-
-void
-UpstreamSide::StopWork()
-{
-  mStopped = true;
-  mTakesWork = false;
-  mGate.SetSlots(0);
-  for (const ExecutionId it : mGate.RemoveAll()) {
-    Refuse(it, AttemptReason::Leaving);
-  }
-  if (mOnChange) {
-    mOnChange();
-  }
-}
-
-void
-UpstreamSide::SetDown(const char* aReason)
-{
-  if (mIsDown) {
-    return;
-  }
-  mIsDown = true;
-  mGate.SetSlots(0);
-  mIdle.clear();
-  mLogger.Write(EventLoop::Now(),
-                LogLevel::Warning,
-                "upstream-down",
-                { { "instance", Instance() }, { "reason", aReason } });
-  for (const ExecutionId it : mGate.RemoveAll()) {
-    Refuse(it, AttemptReason::NotConnected);
-  }
-  if (mOnChange) {
-    mOnChange();
-  }
-}
-
 ExecutionId
 UpstreamSide::Run(TimePoint aNow, ForwardRequest aRequest, Done aDone)
 {
@@ -137,7 +59,7 @@
   mByRequest[attempt->mRequest.mRequestId] = id;
   const ForwardRequest& request = attempt->mRequest;
   AttemptReason reason = AttemptReason::None;
-  if (request.mInstance != Instance() || request.mService != mService) {
+  if (!IsForCurrentRun(request)) {
     reason = AttemptReason::OtherInstance;
   } else if (mIsDown) {
     reason = AttemptReason::NotConnected;
@@ -208,7 +130,9 @@
   http.mHeaders.emplace_back(names.mRequestId, aAttempt.mRequest.mRequestId);
   http.mHeaders.emplace_back(names.mTimeLeft,
                              std::to_string(std::max<int64_t>(left, 1)));
-  http.mHeaders.emplace_back(names.mExpectedInstance, Instance());
+  // The address may belong to another upstream by the time this is sent.
+  http.mHeaders.emplace_back(names.mExpectedInstance,
+                             aAttempt.mRequest.mInstance);
   http.mHeaders.emplace_back(names.mCallerService,
                              aAttempt.mRequest.mCallerService);
   ++mSentCount;
