Confirm a run before it replaces the one in use

Cause: a later start alone made a report that of the next run at the address. Service, instance and readiness of the node and the name for its callers follow the present run, and the reports of the sound one were stale from then on.

"a report of another writer changes nothing about the upstream" failed with the first report (caller `elsewhere`, and 503 for the sound upstream).

Ruled out: to ignore services that are not configured only (a configured one does the same, and the sound upstream stays shut out), and the service of the settings only (an address may go to another service).

Change: another run is a candidate until a status check names it, or, without a usable check, until it reports again while the present one has been silent for 3 s or has ended. Earlier runs come back in the same way. Reports that are ignored no longer reset the mark of an upstream that is down, and no longer count as a crash.

--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -34,7 +34,8 @@
 {
   Current,     ///< Newer than the latest known report.
   Unconfirmed, ///< Of a run that is not used before its status is checked.
-  Stale,       ///< From an earlier run, or not newer than the latest report.
+  Stale,       ///< Of a run that has ended, or not newer than its latest one.
+  Conflicting, ///< Names another service than the run has.
   OtherHost,   ///< From an upstream that is not beside this node.
 };
 
@@ -45,6 +46,7 @@
     std::pair{ ReportOutcome::Current, std::string_view{ "current" } },
     std::pair{ ReportOutcome::Unconfirmed, std::string_view{ "unconfirmed" } },
     std::pair{ ReportOutcome::Stale, std::string_view{ "stale" } },
+    std::pair{ ReportOutcome::Conflicting, std::string_view{ "conflicting" } },
     std::pair{ ReportOutcome::OtherHost, std::string_view{ "other-host" } },
   };
 };
@@ -75,19 +77,21 @@
 };
 
 /** Keeps the newest report of the upstream beside a node; reports may arrive in
- * any order.
+ * any order, and others than that upstream may write them.
  *
  * A run that began before this node may have announced its end to an earlier
  * process of the node, so its first report does not put it into use: it may be
- * a late one. The run is confirmed by a status check, which it answers only
- * while it does not leave, or, if checks give no usable answer, by a further
- * report. Not thread-safe. */
+ * a late one. Neither does a report end the use of the current run, however
+ * late its run claims to have begun. Such a run is confirmed by a status check
+ * that names it, or, if checks give no usable answer, by a further report while
+ * the current run is silent. Not thread-safe. */
 class HeartbeatTracker
 {
 public:
   struct Options
   {
     std::string mAddress; ///< Of the upstream beside this node.
+    std::string mService; ///< Of that upstream, by the settings of the node.
     int64_t mNodeStartedMillis =
       0; ///< Start of this process by the wall clock.
   };
@@ -115,6 +119,9 @@
   /** @return the newest report of a run whose status has to be checked before
    * it is used, or null if there is none. */
   [[nodiscard]] const UpstreamReport* Unconfirmed() const;
+  /** @return the service of the upstream; that of the settings while no run is
+   * known. */
+  [[nodiscard]] const std::string& Service() const;
   /** @return whether a run is known that has announced neither draining nor its
    * end. */
   [[nodiscard]] bool TakesWork() const;
@@ -134,6 +141,7 @@
     UpstreamReport mReport; ///< The newest.
     uint64_t mFirstSequence = 0;
     TimePoint mFirstHeard{};
+    bool mIsNamed = false;  ///< It has answered a status check.
     bool mIsDenied = false; ///< A status check has spoken against it.
   };
 
@@ -142,12 +150,27 @@
                               const UpstreamReport& aReport) const;
   /** @return whether the run of a report began no earlier than this node. */
   [[nodiscard]] bool BeganWithNode(const UpstreamReport& aReport) const;
-  ReportOutcome OfferToCurrent(const UpstreamReport& aReport);
+  /** @return whether a run needs no confirmation. */
+  [[nodiscard]] bool IsEvident(TimePoint aNow,
+                               const UpstreamReport& aReport) const;
+  /** @return whether the current run has neither ended nor been silent for
+   * long. */
+  [[nodiscard]] bool IsCurrentAlive(TimePoint aNow) const;
+  /** @return whether a status that names the run of a report is a proof of it.
+   */
+  [[nodiscard]] bool ProvesRun(TimePoint aNow,
+                               const UpstreamReport& aReport,
+                               StatusVerdict aVerdict) const;
+  ReportOutcome OfferToCurrent(TimePoint aNow, const UpstreamReport& aReport);
   ReportOutcome OfferCandidate(TimePoint aNow, const UpstreamReport& aReport);
   void SetCurrent(TimePoint aNow, const UpstreamReport& aReport);
+  void KeepEnd(TimePoint aNow,
+               const std::string& aInstance,
+               int64_t aStartedMillis);
 
   Options mOptions;
   std::optional<UpstreamReport> mLatest; ///< Of the current run.
+  TimePoint mLastHeard{};                ///< When that report came.
   std::optional<Candidate> mCandidate;
   std::vector<EndedRun> mEndedRuns; ///< Of other instances; the latest few.
   bool mEnded = false;
--- a/libs/forwarding/src/HeartbeatTracker.cpp
+++ b/libs/forwarding/src/HeartbeatTracker.cpp
@@ -23,6 +23,8 @@
 // Shortest time between the first and the latest report of a run that these
 // alone confirm.
 constexpr Duration kConfirmTime = seconds(1);
+// A run that has sent no report for this time may be gone.
+constexpr Duration kSilenceTime = seconds(3);
 
 } // namespace
 
@@ -38,26 +40,24 @@
     return ReportOutcome::OtherHost;
   }
   if (mLatest && aReport.IsSameRun(*mLatest)) {
-    return OfferToCurrent(aReport);
+    return OfferToCurrent(aNow, aReport);
   }
-  const UpstreamReport* known =
-    mLatest ? &*mLatest : (mCandidate ? &mCandidate->mReport : nullptr);
-  if (known && aReport.mStartedMillis < known->mStartedMillis) {
-    return ReportOutcome::Stale;
-  }
-  // This process has heard all that a run announced that began after it, or
-  // that replaced another one.
-  if (mLatest || aReport.mDraining || HasEnded(aNow, aReport) ||
-      BeganWithNode(aReport)) {
+  if (IsEvident(aNow, aReport)) {
     SetCurrent(aNow, aReport);
     return ReportOutcome::Current;
   }
+  if (mLatest && HasEnded(aNow, aReport)) {
+    return ReportOutcome::Stale;
+  }
   return OfferCandidate(aNow, aReport);
 }
 
 ReportOutcome
-HeartbeatTracker::OfferToCurrent(const UpstreamReport& aReport)
+HeartbeatTracker::OfferToCurrent(TimePoint aNow, const UpstreamReport& aReport)
 {
+  if (aReport.mService != mLatest->mService) {
+    return ReportOutcome::Conflicting;
+  }
   if (aReport.mSequence <= mLatest->mSequence) {
     return ReportOutcome::Stale;
   }
@@ -65,20 +65,24 @@
   const bool isDraining = mLatest->mDraining || mEnded || aReport.mDraining;
   mLatest = aReport;
   mLatest->mDraining = isDraining;
+  mLastHeard = aNow;
   return ReportOutcome::Current;
 }
 
 ReportOutcome
 HeartbeatTracker::OfferCandidate(TimePoint aNow, const UpstreamReport& aReport)
 {
-  if (!mCandidate || !aReport.IsSameRun(mCandidate->mReport)) {
+  if (!mCandidate || !aReport.IsSameRun(mCandidate->mReport) ||
+      aReport.mService != mCandidate->mReport.mService) {
     mCandidate = Candidate{ .mReport = aReport,
                             .mFirstSequence = aReport.mSequence,
                             .mFirstHeard = aNow };
   } else if (aReport.mSequence <= mCandidate->mReport.mSequence) {
     return ReportOutcome::Stale;
   } else {
+    const bool isDraining = mCandidate->mReport.mDraining;
     mCandidate->mReport = aReport;
+    mCandidate->mReport.mDraining |= isDraining;
   }
   return ReportOutcome::Unconfirmed;
 }
@@ -86,11 +90,57 @@
 void
 HeartbeatTracker::SetCurrent(TimePoint aNow, const UpstreamReport& aReport)
 {
+  if (mLatest && !TakesWork()) {
+    // A late report of it may come while the next run is silent.
+    KeepEnd(aNow, mLatest->mInstance, mLatest->mStartedMillis);
+  }
   mLatest = aReport;
+  mLastHeard = aNow;
   mEnded = HasEnded(aNow, aReport);
   mCandidate.reset();
 }
 
+void
+HeartbeatTracker::KeepEnd(TimePoint aNow,
+                          const std::string& aInstance,
+                          int64_t aStartedMillis)
+{
+  if (mEndedRuns.size() >= kMaxEndedRunCount) {
+    mEndedRuns.erase(mEndedRuns.begin());
+  }
+  mEndedRuns.push_back({ aInstance, aStartedMillis, aNow });
+}
+
+bool
+HeartbeatTracker::IsEvident(TimePoint aNow, const UpstreamReport& aReport) const
+{
+  // A run that leaves is not used, and this process has heard all that was
+  // announced by one that began after it.
+  return !mLatest && aReport.mService == mOptions.mService &&
+         (aReport.mDraining || HasEnded(aNow, aReport) ||
+          BeganWithNode(aReport));
+}
+
+bool
+HeartbeatTracker::IsCurrentAlive(TimePoint aNow) const
+{
+  return mLatest && !mEnded && aNow - mLastHeard < kSilenceTime;
+}
+
+bool
+HeartbeatTracker::ProvesRun(TimePoint aNow,
+                            const UpstreamReport& aReport,
+                            StatusVerdict aVerdict) const
+{
+  if (mLatest) {
+    // Of two runs with one identifier, the status does not tell the earlier.
+    return aReport.mInstance != mLatest->mInstance ||
+           aReport.mStartedMillis > mLatest->mStartedMillis;
+  }
+  return aVerdict == StatusVerdict::Ready || aReport.mDraining ||
+         HasEnded(aNow, aReport);
+}
+
 bool
 HeartbeatTracker::BeganWithNode(const UpstreamReport& aReport) const
 {
@@ -108,14 +158,16 @@
     return false;
   }
   Candidate& run = *mCandidate;
-  const bool isNamed = aStatus.mInstance == run.mReport.mInstance;
-  const bool isOther = !aStatus.mInstance.empty() && !isNamed;
-  run.mIsDenied |= isOther || aStatus.mVerdict == StatusVerdict::NotReady;
-  const bool isReady = isNamed && aStatus.mVerdict == StatusVerdict::Ready;
+  run.mIsNamed = aStatus.mInstance == run.mReport.mInstance;
+  const bool isProven =
+    run.mIsNamed && ProvesRun(aNow, run.mReport, aStatus.mVerdict);
+  const bool isOther = !aStatus.mInstance.empty() && !run.mIsNamed;
+  run.mIsDenied |=
+    isOther || (!mLatest && aStatus.mVerdict == StatusVerdict::NotReady);
   const bool goesOn =
-    run.mReport.mSequence > run.mFirstSequence &&
+    run.mReport.mSequence > run.mFirstSequence && !IsCurrentAlive(aNow) &&
     aNow - run.mFirstHeard >= (run.mIsDenied ? kLatestReport : kConfirmTime);
-  if (!isReady && !goesOn) {
+  if (!isProven && !goesOn) {
     return false;
   }
   SetCurrent(aNow, UpstreamReport(run.mReport));
@@ -151,10 +203,7 @@
       return false; // It may be of an earlier run; a later one can reuse its
                     // id.
     }
-    if (mEndedRuns.size() >= kMaxEndedRunCount) {
-      mEndedRuns.erase(mEndedRuns.begin());
-    }
-    mEndedRuns.push_back({ aInstance, aStartedMillis, aNow });
+    KeepEnd(aNow, aInstance, aStartedMillis);
     return false;
   }
   if (aStartedMillis != 0 && aStartedMillis < mLatest->mStartedMillis) {
@@ -176,6 +225,16 @@
   return mCandidate ? &mCandidate->mReport : nullptr;
 }
 
+const std::string&
+HeartbeatTracker::Service() const
+{
+  if (mLatest) {
+    return mLatest->mService;
+  }
+  return mCandidate && mCandidate->mIsNamed ? mCandidate->mReport.mService
+                                            : mOptions.mService;
+}
+
 bool
 HeartbeatTracker::TakesWork() const
 {
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -66,6 +66,7 @@
                 .mHeaders = mBinding.mHeaders,
                 .mReadNotice = mBinding.mReadNotice })
   , mHeartbeats({ .mAddress = mSettings.mUpstreamAddress,
+                  .mService = mSettings.mService,
                   .mNodeStartedMillis = int64_t(mRun) })
   , mStatusCheck(mLoop,
                  { .mAddress = mSettings.mUpstreamAddress,
--- a/libs/proxy/src/ProxyUpstream.cpp
+++ b/libs/proxy/src/ProxyUpstream.cpp
@@ -28,24 +28,27 @@
   }
   if (const auto* report = std::get_if<UpstreamReport>(&message.value())) {
     const ReportOutcome verdict = mHeartbeats.Offer(now, *report);
-    if (verdict != ReportOutcome::Current) {
+    if (verdict == ReportOutcome::Current) {
+      ApplyReport(now);
+    } else {
       mLogger.Write(now,
                     LogLevel::Info,
                     "upstream-report-ignored",
                     { { "verdict", std::string(ToName(verdict)) },
                       { "instance", report->mInstance },
+                      { "service", report->mService },
+                      { "started", std::to_string(report->mStartedMillis) },
                       { "sequence", std::to_string(report->mSequence) } });
     }
   } else {
     const auto& end = std::get<UpstreamEnd>(message.value());
-    mHeartbeats.Ended(now, end.mInstance, end.mStartedMillis);
+    UpstreamLeaves(now, end.mInstance, end.mStartedMillis);
     mLogger.Write(now,
                   LogLevel::Info,
                   "upstream-ended",
                   { { "instance", end.mInstance },
                     { "started", std::to_string(end.mStartedMillis) } });
   }
-  ApplyReport(now);
   CheckStatus(now);
   return { .mStatus = kOk,
            .mHeaders = { { "Content-Type", "application/json" } },
@@ -57,8 +60,8 @@
 {
   if (const UpstreamReport* latest = mHeartbeats.Latest()) {
     mUpstream.SetReport(aNow, *latest, mHeartbeats.TakesWork());
-    mForwarder.SetService(latest->mService);
   }
+  mForwarder.SetService(mHeartbeats.Service());
 }
 
 void
@@ -98,6 +101,8 @@
                   { "confirmed", isConfirmed ? "yes" : "no" } });
   if (isConfirmed) {
     ApplyReport(aNow);
+  } else {
+    mForwarder.SetService(mHeartbeats.Service());
   }
 }
 
