Keep the memory limit of incomplete answers as they grow

A report of other operators: an upstream that sends bytes without end fills the memory of the node that called it. Here 64 endless bodies at once took a node from 10 to 119 MB (chunked 123 MB), where 32 MB are allowed and the smallest hosts have 160 MB; with 150, 18 of 20 other requests got 429.

Cause: the limit was looked after every 20 ms, sizes were counted in place of what is allocated, and answers that were cut off were freed only at the end of a turn of the loop. Ruled out: heads, header lines and foreign responses without end, which were cut off within 1 MB.

Change: the limit is kept as answers grow, by allocated memory, and what is cut off is freed at once. `response_buffer_peak_bytes` shows the peak.

--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -41,6 +41,9 @@
   {
     TcpStream::Options mStream;
     ReadLimits mLimits;
+    /** Called as an incomplete response takes more memory. It may call Abort().
+     */
+    std::function<void()> mOnGrowth;
   };
 
   /** Called once per request, except after Abort(). It may destroy the
--- a/libs/http/include/http/HttpReader.h
+++ b/libs/http/include/http/HttpReader.h
@@ -84,6 +84,9 @@
    * @return the current response if it has no length and thus ends with the
    * connection, or nothing. */
   std::optional<ReceivedResponse> Finish();
+  /** Frees the memory of the current response, which is not read any further.
+   */
+  void Discard();
   [[nodiscard]] ReadState State() const;
   /** @return the bytes of memory that the current response takes so far. */
   [[nodiscard]] size_t BufferedBytes() const;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kIdleMargin = seconds(1);
 // Responses to other requests that may precede the response to a request.
 constexpr int kMaxDiscardedResponseCount = 16;
+// Growth of a response that is worth telling.
+constexpr size_t kGrowthBytes = size_t(16) * 1024;
 
 // Returns `timeout=N` of the Keep-Alive header less the margin, or the default.
 Duration
@@ -39,8 +41,9 @@
 
 struct ClientConnection::Parts : std::enable_shared_from_this<Parts>
 {
-  explicit Parts(const ReadLimits& aLimits)
-    : mReader(aLimits)
+  explicit Parts(const Options& aOptions)
+    : mReader(aOptions.mLimits)
+    , mOnGrowth(aOptions.mOnGrowth)
   {
   }
 
@@ -66,6 +69,11 @@
     }
     if (mReader.State() == ReadState::Invalid) {
       Fail(ExchangeEnd::Invalid);
+      return;
+    }
+    if (mOnGrowth && mReader.BufferedBytes() > mToldBytes + kGrowthBytes) {
+      mToldBytes = mReader.BufferedBytes();
+      mOnGrowth();
     }
   }
 
@@ -88,6 +96,7 @@
   {
     mReusable = false;
     mStream->Close();
+    mReader.Discard(); // The connection may outlive this turn of the loop.
     if (auto done = std::exchange(mDoneCallback, nullptr)) {
       done(aEnd, {});
     }
@@ -117,7 +126,9 @@
   bool mReusable = true;
   bool mReused = false;
   int mDiscardedResponses = 0;
+  size_t mToldBytes = 0; ///< Memory of the response when it was last told.
   TimePoint mIdleUntil = TimePoint::max();
+  std::function<void()> mOnGrowth;
   ResponseFilter mResponseFilter;
   DoneCallback mDoneCallback;
 };
@@ -125,7 +136,7 @@
 ClientConnection::ClientConnection(EventLoop& aLoop,
                                    const std::string& aAddress,
                                    const Options& aOptions)
-  : mParts(std::make_shared<Parts>(aOptions.mLimits))
+  : mParts(std::make_shared<Parts>(aOptions))
 {
   const std::weak_ptr<Parts> weak = mParts;
   StreamCallbacks events;
@@ -151,6 +162,7 @@
                        DoneCallback aDoneCallback)
 {
   mParts->mIsHeadRequest = aRequest.mMethod == "HEAD";
+  mParts->mToldBytes = 0;
   mParts->mResponseFilter = std::move(aResponseFilter);
   mParts->mDoneCallback = std::move(aDoneCallback);
   mParts->mStream->Write(FormatRequest(aRequest));
@@ -162,6 +174,7 @@
   mParts->mDoneCallback = nullptr;
   mParts->mReusable = false;
   mParts->mStream->Close();
+  mParts->mReader.Discard();
 }
 
 bool
--- a/libs/http/src/HttpReader.cpp
+++ b/libs/http/src/HttpReader.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpReader.h"
 
+#include <algorithm>
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -106,7 +108,17 @@
   [[nodiscard]] ReadFault Fault() const { return mFault; }
   [[nodiscard]] size_t BufferedBytes() const
   {
-    return mBuffer.size() + mParser->get().body().size();
+    // A body of announced length is reserved as a whole, and takes memory as it
+    // is written.
+    const std::string& body = mParser->get().body();
+    return mBuffer.capacity() + std::min(body.capacity(), 2 * body.size());
+  }
+  void Discard()
+  {
+    mBuffer = std::string();
+    mConsumedBytes = 0;
+    ResetParser();
+    Fail();
   }
   Parser& CurrentParser() { return *mParser; }
   void Fail() { mFault = ReadFault::Malformed; }
@@ -244,6 +256,12 @@
   return mParts->State();
 }
 
+void
+ResponseReader::Discard()
+{
+  mParts->Discard();
+}
+
 size_t
 ResponseReader::BufferedBytes() const
 {
--- a/libs/proxy/include/proxy/ProxyMetrics.h
+++ b/libs/proxy/include/proxy/ProxyMetrics.h
@@ -21,7 +21,8 @@
   uint64_t mQuarantined = 0;
   /** Requests per second that the upstream takes; no limit if empty. */
   std::optional<double> mUpstreamRateLimit;
-  uint64_t mResponseBytes = 0; ///< Of incomplete responses.
+  uint64_t mResponseBytes = 0; ///< Memory of incomplete responses.
+  uint64_t mPeakResponseBytes = 0;
   uint64_t mCallerConnections = 0;
   uint64_t mConnectedPeers = 0;
   uint64_t mKnownNodes = 0;
--- a/libs/proxy/include/proxy/UpstreamSide.h
+++ b/libs/proxy/include/proxy/UpstreamSide.h
@@ -91,6 +91,8 @@
   [[nodiscard]] size_t InFlight() const { return mAttempts.size(); }
   /** @return the bytes of memory that incomplete responses take. */
   [[nodiscard]] size_t ResponseBytes() const;
+  /** @return the highest value of ResponseBytes() so far. */
+  [[nodiscard]] size_t PeakResponseBytes() const { return mPeakResponseBytes; }
   /** @return the attempts that were sent to the upstream so far. */
   [[nodiscard]] uint64_t SentCount() const { return mSentCount; }
   /** @return the rate limit that the upstream names, in requests per second. */
@@ -124,7 +126,8 @@
   void Start(TimePoint aNow, Attempt& aAttempt);
   void StartNext(TimePoint aNow);
   /** Ends the longest incomplete responses when all together take too much
-   * memory. */
+   * memory. Called as they grow: an upstream on the same host sends more than a
+   * host has between two ticks. */
   void LimitResponses(TimePoint aNow);
   void Answered(ExecutionId aExecution,
                 ExchangeEnd aEnd,
@@ -183,6 +186,7 @@
   uint32_t mSlots = 0;
   TimePoint mOverloadLogged{};
   uint64_t mSentCount = 0;
+  size_t mPeakResponseBytes = 0;
   TimePoint mRateLogged{};
   uint64_t mSentAtRateLog = 0;
   uint64_t mLastId = 0;
--- a/libs/proxy/src/ProxyMetrics.cpp
+++ b/libs/proxy/src/ProxyMetrics.cpp
@@ -36,6 +36,7 @@
                        *aMetrics.mUpstreamRateLimit);
   }
   add("response_buffer_bytes", "gauge", aMetrics.mResponseBytes);
+  add("response_buffer_peak_bytes", "gauge", aMetrics.mPeakResponseBytes);
   add("caller_connections", "gauge", aMetrics.mCallerConnections);
   add("peers_connected", "gauge", aMetrics.mConnectedPeers);
   add("nodes_known", "gauge", aMetrics.mKnownNodes);
--- a/libs/proxy/src/ProxyReady.cpp
+++ b/libs/proxy/src/ProxyReady.cpp
@@ -54,6 +54,7 @@
         mCrashes.Evidence().CountOf(EventLoop::Now(), Suspicion::Quarantined),
       .mUpstreamRateLimit = mUpstream.RateLimit(),
       .mResponseBytes = mUpstream.ResponseBytes(),
+      .mPeakResponseBytes = mUpstream.PeakResponseBytes(),
       .mCallerConnections = mCallers.Connections(),
       .mConnectedPeers = mLinks.Connected(),
       .mKnownNodes = mDiscovery->KnownNodes(),
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -109,6 +109,7 @@
   const ClientConnection::Options options{
     .mStream = { .mConnectTimeout = kConnectTimeout,
                  .mUserTimeout = kUserTimeout },
+    .mOnGrowth = [this] { LimitResponses(EventLoop::Now()); },
   };
   return std::make_unique<ClientConnection>(mLoop, mOptions.mAddress, options);
 }
@@ -365,7 +366,6 @@
     Finish(id, std::move(reply));
   }
   mCrashDetector.Tick(aNow);
-  LimitResponses(aNow);
   std::erase_if(mIdle,
                 [&](const auto& aOne) { return !aOne->IsReusable(aNow); });
   StartNext(aNow);
@@ -409,6 +409,7 @@
     reply.mReason = AttemptReason::InvalidResponse;
     Finish(longest->mId, std::move(reply));
   }
+  mPeakResponseBytes = std::max(mPeakResponseBytes, ResponseBytes());
 }
 
 const ForwardRequest*
--- a/libs/proxy/tests/EndlessResponseTest.cpp
+++ b/libs/proxy/tests/EndlessResponseTest.cpp
@@ -109,6 +109,49 @@
   }
 }
 
+// Guards against the memory of a host: what an upstream on the same host sends
+// on many connections within a tick exceeds it.
+TEST_CASE("bytes without end on many connections stay within the memory limit")
+{
+  constexpr uint32_t kSlotCount = 64;
+  constexpr int kCallCount = 60;
+  constexpr int kLimitBytes = 32 * 1024 * 1024;
+  const bool isChunked = GENERATE(false, true);
+  INFO("chunked " << isChunked);
+  ProxyFleet fleet({ "crews", "logs" });
+  fleet.At(1).mSlots = kSlotCount;
+  fleet.Start("1 /logs/ logs MANY 8000 /book/ logs ONCE 8000");
+  const Case endless = Cases().at(isChunked ? 3 : 2);
+  std::vector<std::unique_ptr<EndlessWriter>> writers;
+  fleet.At(1).mUpstream->SetBehaviour(
+    [&](Connection& aConnection, const HttpRequest& aRequest) {
+      if (aRequest.mPath != "/book/endless") {
+        FakeUpstream::Respond(aConnection, aRequest, 200, "served");
+        return;
+      }
+      aConnection.mStream->Write(endless.mStart);
+      writers.push_back(std::make_unique<EndlessWriter>(
+        fleet.Loop(), aConnection, endless.mPiece));
+    });
+  std::vector<std::shared_ptr<ProxyFleet::Answer>> answers;
+  answers.reserve(kCallCount);
+  for (int n = 0; n < kCallCount; ++n) {
+    answers.push_back(
+      fleet.Call(0, "POST", "/book/endless", "id-" + std::to_string(n), 8000));
+  }
+  REQUIRE(fleet.Until([&] {
+    return std::all_of(answers.begin(), answers.end(), [](const auto& aAnswer) {
+      return aAnswer->mIsDone;
+    });
+  }));
+  for (const auto& it : answers) {
+    CHECK((it->mHttp.mStatus == 502 || it->mHttp.mStatus == 429));
+  }
+  CHECK(fleet.Metric(1, "response_buffer_peak_bytes") > 0);
+  CHECK(fleet.Metric(1, "response_buffer_peak_bytes") <= kLimitBytes);
+  CHECK(fleet.CallAndWait(0, "GET", "/logs/1", "after").mBody == "served");
+}
+
 // Guards against the memory of a host: each response stays within its own
 // limit, but many at once do not fit.
 TEST_CASE("many long responses at once stay within the memory of the node")
