Answer requests that outlast a shutdown before its end

A report of other operators: requests that come late in a planned stop are passed on and cut without an answer at its end. Here the process closed its connections 0.3 s before the end of the grace, with whatever was in flight.

"requests that outlast a shutdown are answered before its end" failed: none of four requests, two of them from 2 s after the start of the shutdown, was answered. Ruled out: attempts for other nodes, whose nodes answer 502 when the connection is lost, and what waits at the gate, which is refused at the start.

Change: what is in flight 0.5 s before the end is given up, and answered 502 if it may have run, or refused with a time to come back.

--- a/libs/proxy/include/proxy/Forwarder.h
+++ b/libs/proxy/include/proxy/Forwarder.h
@@ -89,6 +89,8 @@
   void Tick(TimePoint aNow);
   /** Refuses new requests from now on. */
   void StopWork() { mStopped = true; }
+  /** Gives up what is in flight, as the process ends. */
+  void EndAll(TimePoint aNow);
 
   [[nodiscard]] size_t InFlight() const { return mCalls.size(); }
   [[nodiscard]] const ForwarderCounts& Counts() const { return mCounts; }
@@ -113,6 +115,8 @@
                                    const Call& aCall,
                                    AttemptReason aReason);
   void GiveUp(TimePoint aNow, Call& aCall, AttemptReason aReason);
+  /** As GiveUp(), and cancels the attempt under way. */
+  void Abandon(TimePoint aNow, Call& aCall, AttemptReason aReason);
   void Answer(Call& aCall, HttpResponse aResponse);
   void Remove(Call& aCall);
   void LogEnd(TimePoint aNow,
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -447,15 +447,29 @@
 Forwarder::Tick(TimePoint aNow)
 {
   while (!mByDeadline.empty() && mByDeadline.begin()->first <= aNow) {
-    Call& call = *mCalls.at(mByDeadline.begin()->second);
-    if (call.mIsOut) {
-      // The other end may have started it.
-      call.mHistory.mMayHaveRun = true;
-      mPicker.Abandoned(call.mNode);
-      mOutlets.mCancel(aNow, call.mNode, call.mAttempt);
-    }
-    GiveUp(aNow, call, AttemptReason::Expired);
+    Abandon(
+      aNow, *mCalls.at(mByDeadline.begin()->second), AttemptReason::Expired);
+  }
+}
+
+void
+Forwarder::EndAll(TimePoint aNow)
+{
+  while (!mCalls.empty()) {
+    Abandon(aNow, *mCalls.begin()->second, AttemptReason::Leaving);
+  }
+}
+
+void
+Forwarder::Abandon(TimePoint aNow, Call& aCall, AttemptReason aReason)
+{
+  if (aCall.mIsOut) {
+    // The other end may have started it.
+    aCall.mHistory.mMayHaveRun = true;
+    mPicker.Abandoned(aCall.mNode);
+    mOutlets.mCancel(aNow, aCall.mNode, aCall.mAttempt);
   }
+  GiveUp(aNow, aCall, aReason);
 }
 
 } // namespace amaranthgap
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -13,7 +13,9 @@
 // New requests are taken for this long after SIGTERM: callers turn away after
 // two missed questions a second apart.
 constexpr Duration kTakeAfterTerm = milliseconds(2600);
-// Left of the shutdown time when the process ends whatever is in flight.
+// Left of the shutdown time when requests in flight are given up, and when the
+// process ends.
+constexpr Duration kGiveUpMargin = milliseconds(500);
 constexpr Duration kExitMargin = milliseconds(300);
 // Others are told of a load this often while it is worth telling.
 constexpr Duration kReportPause = milliseconds(500);
@@ -360,6 +362,9 @@
     mForwarder.StopWork();
     mCallers.StartDraining();
   }
+  if (since > mSettings.mShutdownTime - kGiveUpMargin) {
+    mForwarder.EndAll(aNow);
+  }
   const bool idle = mForwarder.InFlight() == 0 && mUpstream.InFlight() == 0;
   if ((since > kTakeAfterTerm && idle) ||
       since > mSettings.mShutdownTime - kExitMargin) {
--- a/libs/proxy/tests/ProxyTest.cpp
+++ b/libs/proxy/tests/ProxyTest.cpp
@@ -235,6 +235,37 @@
   CHECK(fleet.Until([&] { return fleet.At(0).mIsStopped; }));
 }
 
+// Guards against connections that end without an answer at the end of a
+// shutdown, with requests that were taken before it and after its start.
+TEST_CASE("requests that outlast a shutdown are answered before its end")
+{
+  constexpr Duration kShutdownTime = seconds(6);
+  ProxyFleet fleet({ "crews", "logs" });
+  fleet.Start("1 /logs/ logs MANY 9000 /book/ logs ONCE 9000");
+  FakeUpstream& upstream = *fleet.At(1).mUpstream;
+  upstream.SetBehaviour([](Connection&, const HttpRequest&) {});
+  std::vector<std::shared_ptr<ProxyFleet::Answer>> answers;
+  const auto send = [&] {
+    const std::string id = "id-" + std::to_string(answers.size());
+    answers.push_back(fleet.Call(0, "POST", "/book/1", id, 9000));
+    answers.push_back(fleet.Call(0, "GET", "/logs/1", id + "-safe", 9000));
+  };
+  send();
+  REQUIRE(fleet.Until([&] { return upstream.Runs() == 2; }));
+  const TimePoint start = EventLoop::Now();
+  fleet.At(0).mProxy->StartShutdown();
+  fleet.RunFor(seconds(2));
+  send();
+  CHECK(fleet.Until([&] { return fleet.At(0).mIsStopped; }));
+  CHECK(EventLoop::Now() - start < kShutdownTime);
+  fleet.RunFor(milliseconds(50));
+  CHECK(upstream.Runs() == 4);
+  for (const auto& it : answers) {
+    CHECK(it->mIsDone);
+    CHECK(it->mHttp.mStatus == 502); // It may have run.
+  }
+}
+
 // Guards against cutting a sound connection when the store lists the new run of
 // a node late.
 TEST_CASE("a node that is connected again keeps its requests when it is listed")
