Require readiness of a run from before the node that replaces another one

Found by reading: after a restart, a late `draining` report of an even earlier run is taken at once, since it is not used. It then counted as the current run, which another one replaces with a status that only names it, so that a run whose end an earlier process had acknowledged was in use with a late report.

Whether a run has to be ready depends on its own start now, and not on whether another run is known. "a run from before the node has to be ready to replace another one" failed before (in use with a status of 503).

--- a/libs/forwarding/include/forwarding/HeartbeatTracker.h
+++ b/libs/forwarding/include/forwarding/HeartbeatTracker.h
@@ -156,11 +156,12 @@
   /** @return whether the current run has neither ended nor been silent for
    * long. */
   [[nodiscard]] bool IsCurrentAlive(TimePoint aNow) const;
-  /** @return whether a status that names the run of a report is a proof of it.
-   */
-  [[nodiscard]] bool ProvesRun(TimePoint aNow,
-                               const UpstreamReport& aReport,
-                               StatusVerdict aVerdict) const;
+  /** @return whether a run may have announced its end to an earlier process, so
+   * that only its readiness allows its use. */
+  [[nodiscard]] bool MustBeReady(TimePoint aNow,
+                                 const UpstreamReport& aReport) const;
+  /** @return whether a status that names a run may mean the current one. */
+  [[nodiscard]] bool NamesCurrent(const UpstreamReport& aReport) const;
   ReportOutcome OfferToCurrent(TimePoint aNow, const UpstreamReport& aReport);
   ReportOutcome OfferCandidate(TimePoint aNow, const UpstreamReport& aReport);
   void SetCurrent(TimePoint aNow, const UpstreamReport& aReport);
--- a/libs/forwarding/src/HeartbeatTracker.cpp
+++ b/libs/forwarding/src/HeartbeatTracker.cpp
@@ -128,17 +128,19 @@
 }
 
 bool
-HeartbeatTracker::ProvesRun(TimePoint aNow,
-                            const UpstreamReport& aReport,
-                            StatusVerdict aVerdict) const
+HeartbeatTracker::MustBeReady(TimePoint aNow,
+                              const UpstreamReport& aReport) const
 {
-  if (mLatest) {
-    // Of two runs with one identifier, the status does not tell the earlier.
-    return aReport.mInstance != mLatest->mInstance ||
-           aReport.mStartedMillis > mLatest->mStartedMillis;
-  }
-  return aVerdict == StatusVerdict::Ready || aReport.mDraining ||
-         HasEnded(aNow, aReport);
+  return !aReport.mDraining && !HasEnded(aNow, aReport) &&
+         !BeganWithNode(aReport);
+}
+
+bool
+HeartbeatTracker::NamesCurrent(const UpstreamReport& aReport) const
+{
+  // Of two runs with one identifier, the status does not tell the earlier.
+  return mLatest && aReport.mInstance == mLatest->mInstance &&
+         aReport.mStartedMillis <= mLatest->mStartedMillis;
 }
 
 bool
@@ -158,12 +160,14 @@
     return false;
   }
   Candidate& run = *mCandidate;
+  const bool mustBeReady = MustBeReady(aNow, run.mReport);
   run.mIsNamed = aStatus.mInstance == run.mReport.mInstance;
   const bool isProven =
-    run.mIsNamed && ProvesRun(aNow, run.mReport, aStatus.mVerdict);
+    run.mIsNamed && !NamesCurrent(run.mReport) &&
+    (!mustBeReady || aStatus.mVerdict == StatusVerdict::Ready);
   const bool isOther = !aStatus.mInstance.empty() && !run.mIsNamed;
   run.mIsDenied |=
-    isOther || (!mLatest && aStatus.mVerdict == StatusVerdict::NotReady);
+    isOther || (mustBeReady && aStatus.mVerdict == StatusVerdict::NotReady);
   const bool goesOn =
     run.mReport.mSequence > run.mFirstSequence && !IsCurrentAlive(aNow) &&
     aNow - run.mFirstHeard >= (run.mIsDenied ? kLatestReport : kConfirmTime);
