--- a/libs/proxy/tests/ReplacedUpstreamTest.cpp
+++ b/libs/proxy/tests/ReplacedUpstreamTest.cpp
@@ -60,6 +60,12 @@
   FakeUpstream& Upstream() { return *At(kNode).mUpstream; }
   /** @return the requests that reached the upstream before it was replaced. */
   [[nodiscard]] size_t Sent() const { return mSent; }
+  [[nodiscard]] bool AreAllAnswered() const
+  {
+    return std::all_of(mAnswers.begin(),
+                       mAnswers.end(),
+                       [](const auto& aAnswer) { return aAnswer->mIsDone; });
+  }
   /** @return how many requests were answered with a status. */
   [[nodiscard]] size_t AnsweredBy(int aStatus) const
   {
@@ -85,10 +91,10 @@
   INFO("instance " << instance);
   ReplacedFleet fleet;
   fleet.Replace("tracking", instance, 10 * kSlots);
-  fleet.RunFor(milliseconds(200));
+  REQUIRE(fleet.Until([&] { return fleet.AreAllAnswered(); }));
   CHECK(fleet.Upstream().Runs() == fleet.Sent());
-  // All are answered at once: those that waited have not run, the others may
-  // have.
+  // None is answered by its deadline (504): those that waited have not run, the
+  // others may have.
   CHECK(fleet.AnsweredBy(502) == fleet.Sent() - 1);
   CHECK(fleet.AnsweredBy(502) + fleet.AnsweredBy(503) + fleet.AnsweredBy(429) ==
         kRequestCount);
@@ -102,7 +108,7 @@
 {
   ReplacedFleet fleet;
   fleet.Replace("rounds", "next-", kSlots);
-  fleet.RunFor(milliseconds(200));
+  REQUIRE(fleet.Until([&] { return fleet.AreAllAnswered(); }));
   CHECK(fleet.Upstream().Runs() == fleet.Sent());
   CHECK(fleet.AnsweredBy(503) >= 1);
   const auto answer = fleet.CallAndWait(kEntry, "GET", "/rounds/1", "next");
