--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -85,9 +85,11 @@
   }
 
   /** Sends the request that crashes its upstreams, under a new id. */
-  void SendCrashing(size_t aEntry, const std::string& aMethod)
+  void SendCrashing(size_t aEntry,
+                    const std::string& aMethod,
+                    const std::string& aPath = "/logs/77")
   {
-    Send(aEntry, aMethod, "/logs/77", kCrashingBody);
+    Send(aEntry, aMethod, aPath, kCrashingBody);
   }
 
   /** Sends a request whose run makes the call that crashes its upstreams. */
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -114,6 +114,45 @@
   CheckLateRuns(fleet);
 }
 
+// Guards against a suspect that each node of its service tries.
+TEST_CASE("copies of a request that crashed two upstreams crash one more")
+{
+  CrashFleet fleet(kRoutes);
+  fleet.SetCrashDelay(milliseconds(70));
+  fleet.SendCrashing(0, "GET"); // Two attempts.
+  REQUIRE(fleet.Until([&] { return fleet.Crashes().size() == 2; }));
+  fleet.RunFor(milliseconds(100));
+  for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+    fleet.SendCrashing(n % CrashFleet::kEntries, "GET");
+  }
+  fleet.RunFor(milliseconds(500));
+  INFO(Timeline(fleet));
+  CHECK(fleet.Crashes().size() <= 3);
+}
+
+// Guards against a crashing request that is another content each time.
+TEST_CASE("a crashing request is found with another query or method each time")
+{
+  const bool variesMethod = GENERATE(false, true);
+  INFO("varies the method: " << variesMethod);
+  CrashFleet fleet(kRoutes);
+  size_t count = 0;
+  SendFor(
+    fleet,
+    seconds(13),
+    [&](size_t) {
+      for (size_t n = 0; n < 6; ++n) {
+        const std::string name = std::to_string(++count);
+        fleet.SendCrashing(n % CrashFleet::kEntries,
+                           variesMethod ? "M" + name : "GET",
+                           variesMethod ? "/logs/77" : "/logs/77?n=" + name);
+      }
+    },
+    seconds(4));
+  fleet.RunFor(seconds(1));
+  CheckLateRuns(fleet);
+}
+
 // Guards against a 504 of a request that never ran, taken as its completion.
 TEST_CASE("a crashing request that times out in a queue stays under suspicion")
 {
