--- a/libs/forwarding/include/forwarding/TargetPicker.h
+++ b/libs/forwarding/include/forwarding/TargetPicker.h
@@ -25,6 +25,8 @@
   double mKilobytes = 1; ///< Expected total size of request and answer.
   /** Preferred data centre; empty for any. */
   std::string_view mDataCentre;
+  /** Node to send to if it takes work; empty for any. */
+  std::string_view mNode;
 };
 
 /** Chooses the target of each attempt at one entry node by expected cost:
--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -197,6 +197,9 @@
       ++runCount;
     }
     if (!aExclude.contains(node) && IsAvailable(aNow, it)) {
+      if (node == aRequest.mNode) {
+        return Choice{ node, it.mState.mInstance };
+      }
       candidates.push_back({ .mTarget = &it, .mRunMillis = run });
       hasPreferred |= it.mState.mDataCentre == aRequest.mDataCentre;
     }
--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -67,10 +67,14 @@
    */
   [[nodiscard]] Duration QuarantineLeft(TimePoint aNow,
                                         const ForwardRequest& aRequest) const;
-  /** @return whether this node is the one of its service that tries a request,
-   * as far as it knows the others. */
-  [[nodiscard]] bool IsTrialNode(
+  /** @return the one node of its service that tries a request on probation, as
+   * far as this node knows the others. */
+  [[nodiscard]] NodeId TrialNode(
     const RequestFingerprints& aFingerprints) const;
+  [[nodiscard]] bool IsTrialNode(const RequestFingerprints& aFingerprints) const
+  {
+    return TrialNode(aFingerprints) == NodeId{ mOptions.mNode };
+  }
   /** @return the number of crashes of the upstream beside this node. */
   [[nodiscard]] uint64_t CrashCount() const { return mCrashCount; }
 
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -41,13 +41,14 @@
   return mEvidence.QuarantineLeft(aNow, FingerprintsOf(aRequest));
 }
 
-bool
-CrashExchange::IsTrialNode(const RequestFingerprints& aFingerprints) const
+NodeId
+CrashExchange::TrialNode(const RequestFingerprints& aFingerprints) const
 {
+  const NodeId own{ mOptions.mNode };
   std::vector<NodeId> nodes = mOutlets.mServiceNodes();
-  nodes.push_back({ mOptions.mNode });
-  return CrashCorrelator::DesignatedNode(aFingerprints.mOfContent, nodes) ==
-         NodeId{ mOptions.mNode };
+  nodes.push_back(own);
+  return CrashCorrelator::DesignatedNode(aFingerprints.mOfContent, nodes)
+    .value_or(own);
 }
 
 void
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -61,7 +61,8 @@
   TimePoint mDeadline;
   AttemptHistory mHistory;
   std::set<std::string> mTried;
-  std::string mNode; ///< Of the attempt under way.
+  std::string mNode;      ///< Of the attempt under way.
+  std::string mTrialNode; ///< Where it is to run, as it is under suspicion.
   uint64_t mAttempt = 0;
   bool mIsOut = false; ///< An attempt is under way.
   AttemptReason mLastReason = AttemptReason::NoTarget;
@@ -219,7 +220,8 @@
                      .mKind = KindOf(first),
                      .mLatencyTarget = aCall.mRoute->mLatencyTarget,
                      .mKilobytes = mNeeds[first.mRoute].mKilobytes,
-                     .mDataCentre = aCall.mDataCentre },
+                     .mDataCentre = aCall.mDataCentre,
+                     .mNode = aCall.mTrialNode },
                    aCall.mTried);
   if (!target) {
     GiveUp(aNow, aCall, aCall.mLastReason);
@@ -336,7 +338,9 @@
   history.mMayHaveRun |= aReply.mOutcome == AttemptOutcome::MayHaveRun;
   history.mUpstreamAttempts += arrived ? 1 : 0;
   history.mRedirects += arrived ? 0 : 1;
-  const NextStep step = aNow >= aCall.mDeadline
+  aCall.mTrialNode = std::move(aReply.mTrialNode);
+  const bool isTrialNodeBusy = aCall.mTried.contains(aCall.mTrialNode);
+  const NextStep step = aNow >= aCall.mDeadline || isTrialNodeBusy
                           ? NextStep::GiveUp
                           : ChooseNextStep(history, aReply.mReason);
   if (step == NextStep::Redirect) {
--- a/libs/proxy/src/ProxyReady.cpp
+++ b/libs/proxy/src/ProxyReady.cpp
@@ -41,27 +41,25 @@
 std::string
 ProxyProcess::Parts::MetricsText() const
 {
-  return FormatMetrics(
-    { .mCounts = mForwarder.Counts(),
-      .mInFlight = mForwarder.InFlight(),
-      .mUpstreamInFlight = mUpstream.InFlight(),
-      .mUpstreamSent = mUpstream.SentCount(),
-      .mUpstreamCrashes = mCrashes.CrashCount(),
-      .mOnProbation =
-        mCrashes.Evidence().CountOf(EventLoop::Now(), Suspicion::Probation) +
-        mCrashes.Evidence().CountOf(EventLoop::Now(), Suspicion::Confined),
-      .mQuarantined =
-        mCrashes.Evidence().CountOf(EventLoop::Now(), Suspicion::Quarantined),
-      .mUpstreamRateLimit = mUpstream.RateLimit(),
-      .mResponseBytes = mUpstream.ResponseBytes(),
-      .mPeakResponseBytes = mUpstream.PeakResponseBytes(),
-      .mCallerConnections = mCallers.Connections(),
-      .mConnectedPeers = mLinks.Connected(),
-      .mKnownNodes = mDiscovery->KnownNodes(),
-      .mWatchesStore = mDiscovery->IsWatching(),
-      .mReachesStore = mDiscovery->ReachesStore(),
-      .mStoreEra = mDiscovery->StoreEra(),
-      .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 });
+  return FormatMetrics({ .mCounts = mForwarder.Counts(),
+                         .mInFlight = mForwarder.InFlight(),
+                         .mUpstreamInFlight = mUpstream.InFlight(),
+                         .mUpstreamSent = mUpstream.SentCount(),
+                         .mUpstreamCrashes = mCrashes.CrashCount(),
+                         .mOnProbation = mCrashes.Evidence().CountOf(
+                           EventLoop::Now(), Suspicion::Probation),
+                         .mQuarantined = mCrashes.Evidence().CountOf(
+                           EventLoop::Now(), Suspicion::Quarantined),
+                         .mUpstreamRateLimit = mUpstream.RateLimit(),
+                         .mResponseBytes = mUpstream.ResponseBytes(),
+                         .mPeakResponseBytes = mUpstream.PeakResponseBytes(),
+                         .mCallerConnections = mCallers.Connections(),
+                         .mConnectedPeers = mLinks.Connected(),
+                         .mKnownNodes = mDiscovery->KnownNodes(),
+                         .mWatchesStore = mDiscovery->IsWatching(),
+                         .mReachesStore = mDiscovery->ReachesStore(),
+                         .mStoreEra = mDiscovery->StoreEra(),
+                         .mRoutesVersion = mRoutes ? mRoutes->Version() : 0 });
 }
 
 } // namespace amaranthgap
--- a/libs/proxy/src/UpstreamCrash.cpp
+++ b/libs/proxy/src/UpstreamCrash.cpp
@@ -46,10 +46,6 @@
   switch (mCrashes.Evidence().StateOf(aNow, aAttempt.mFingerprints)) {
     case Suspicion::Quarantined:
       return AttemptReason::Quarantined;
-    case Suspicion::Confined:
-      return mCrashes.IsTrialNode(aAttempt.mFingerprints)
-               ? ReasonToHoldTrial(aAttempt)
-               : AttemptReason::Suspected;
     case Suspicion::Probation:
       return ReasonToHoldTrial(aAttempt);
     default:
@@ -64,8 +60,11 @@
   if (aAttempt.mRequest.mIsRetry) {
     return AttemptReason::Quarantined;
   }
-  // Of two in flight, a crash would not tell which one caused it.
-  return mTrialCount > 0 ? AttemptReason::Suspected : AttemptReason::None;
+  // Copies that come together must not crash an upstream each; and of two in
+  // flight, a crash would not tell which one caused it.
+  return mCrashes.IsTrialNode(aAttempt.mFingerprints) && mTrialCount == 0
+           ? AttemptReason::None
+           : AttemptReason::Suspected;
 }
 
 void
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -120,8 +120,8 @@
   const ExecutionId id = aAttempt.mId;
   const HeaderNames& names = mOptions.mHeaders;
   aAttempt.mIsRunning = true;
-  aAttempt.mIsTrial =
-    IsTried(mCrashes.Evidence().StateOf(aNow, aAttempt.mFingerprints));
+  aAttempt.mIsTrial = mCrashes.Evidence().StateOf(
+                        aNow, aAttempt.mFingerprints) == Suspicion::Probation;
   mTrialCount += aAttempt.mIsTrial ? 1 : 0;
   aAttempt.mStarted = aNow;
   aAttempt.mRunStartedMillis = mNotices.StartedMillis();
@@ -271,6 +271,10 @@
   ForwardReply reply;
   reply.mOutcome = AttemptOutcome::NotRun;
   reply.mReason = aReason;
+  if (const auto it = mAttempts.find(aExecution);
+      it != mAttempts.end() && aReason == AttemptReason::Suspected) {
+    reply.mTrialNode = mCrashes.TrialNode(it->second->mFingerprints).mValue;
+  }
   Finish(aExecution, std::move(reply));
 }
 
--- a/libs/proxy/tests/CrashExchangeTest.cpp
+++ b/libs/proxy/tests/CrashExchangeTest.cpp
@@ -131,7 +131,8 @@
     const CrashExchange& exchange = *mNodes[aNode]->mExchange;
     inFlight.push_back(
       { .mFingerprints = kPrints,
-        .mIsTrial = IsTried(exchange.Evidence().StateOf(mNow, kPrints)) });
+        .mIsTrial =
+          exchange.Evidence().StateOf(mNow, kPrints) == Suspicion::Probation });
     mNodes[aNode]->mExchange->Crashed(mNow, inFlight);
     ReadKept(aNode);
   }
@@ -408,7 +409,7 @@
 }
 
 // Guards against copies of a request that are each tried by another node.
-TEST_CASE("few nodes of a service try a confined request")
+TEST_CASE("few nodes of a service try a request on probation")
 {
   const Layout layout = GENERATE(from_range(kLayouts));
   INFO(layout.mName);
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -270,6 +270,28 @@
   CHECK(fleet.OthersWith(200, bound) == fleet.OthersWith(0, bound));
 }
 
+// Guards against a suspect without harm that is refused by all nodes but one.
+TEST_CASE("a harmless request that was in flight at two crashes is served")
+{
+  CrashFleet fleet(kOnceRoutes); // No attempt after a lost one.
+  constexpr size_t kRequests = 12;
+  for (size_t crash = 0; crash < 2; ++crash) {
+    for (size_t n = 0; n < kRequests; ++n) {
+      fleet.SendOther(0, "/logs/" + std::to_string(n));
+    }
+    fleet.RunFor(CrashFleet::kWorkTime / 2);
+    for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+      fleet.CrashUpstream(CrashFleet::kEntries + n);
+    }
+    fleet.RunFor(CrashFleet::kDownTime + milliseconds(500));
+  }
+  CHECK(fleet.OthersWith(502) == 2 * kRequests);
+  for (size_t n = 0; n < kRequests; ++n) {
+    const std::string path = "/logs/" + std::to_string(n);
+    CHECK(fleet.CallAndWait(1, "GET", path, "again" + path).mStatus == 200);
+  }
+}
+
 // Guards against the refusal of requests that were merely in flight.
 TEST_CASE("upstreams that crash without a request to blame cost no others")
 {
--- a/libs/quarantine/include/quarantine/CrashEvidence.h
+++ b/libs/quarantine/include/quarantine/CrashEvidence.h
@@ -18,8 +18,8 @@
 {
   Clear,
   Suspect,     ///< In flight at one crash.
-  Probation,   ///< In flight at two; runs as the only such one of a node.
-  Confined,    ///< In flight at three or more; on probation at one node only.
+  Probation,   ///< In flight at two or more; runs at one node of the service,
+               ///< as the only such one there.
   Quarantined, ///< Crashed an upstream while on probation; refused at the
                ///< services that it has crashed upstreams of.
 };
@@ -31,18 +31,10 @@
     std::pair{ Suspicion::Clear, std::string_view{ "clear" } },
     std::pair{ Suspicion::Suspect, std::string_view{ "suspect" } },
     std::pair{ Suspicion::Probation, std::string_view{ "probation" } },
-    std::pair{ Suspicion::Confined, std::string_view{ "confined" } },
     std::pair{ Suspicion::Quarantined, std::string_view{ "quarantined" } },
   };
 };
 
-/** @return whether a request runs as a trial: no other suspect beside it. */
-constexpr bool
-IsTried(Suspicion aState)
-{
-  return aState == Suspicion::Probation || aState == Suspicion::Confined;
-}
-
 /** Fingerprints of a request: of its content alone and of its content from one
  * caller. A request may crash upstreams whoever sends it, or only if it comes
  * from that caller, while others use the same content without harm. They stay
--- a/libs/quarantine/src/CrashEvidence.cpp
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -12,9 +12,6 @@
 
 // Uncleared crashes from which on a request runs on probation.
 constexpr size_t kCrashesToProbation = 2;
-// Uncleared crashes from which on one node of the service tries it: copies that
-// come together must not crash an upstream each.
-constexpr size_t kCrashesToConfinement = 3;
 constexpr size_t kMaxMarks = 8;
 // Most entries of a snapshot, which is sent on each new connection.
 constexpr size_t kMaxSnapshotEntries = 512;
@@ -103,10 +100,7 @@
     return Suspicion::Quarantined;
   }
   const size_t count = UnclearedCount(aEntry.mMarks);
-  if (hasFailedTrial || count >= kCrashesToConfinement) {
-    return Suspicion::Confined;
-  }
-  if (count >= kCrashesToProbation) {
+  if (hasFailedTrial || count >= kCrashesToProbation) {
     return Suspicion::Probation;
   }
   return count > 0 ? Suspicion::Suspect : Suspicion::Clear;
@@ -118,7 +112,7 @@
   const Suspicion gravest = StateOf(aNow, aEntry);
   return gravest == Suspicion::Quarantined &&
              !HasCrashed(aEntry.mMarks, aService)
-           ? Suspicion::Confined
+           ? Suspicion::Probation
            : gravest;
 }
 
--- a/libs/quarantine/tests/CrashEvidenceTest.cpp
+++ b/libs/quarantine/tests/CrashEvidenceTest.cpp
@@ -44,7 +44,8 @@
              const std::string& aService = kService)
   {
     for (InFlightRequest& it : aInFlight) {
-      it.mIsTrial = IsTried(mNodes[aNode].StateOf(mNow, it.mFingerprints));
+      it.mIsTrial =
+        mNodes[aNode].StateOf(mNow, it.mFingerprints) == Suspicion::Probation;
     }
     Tell(mNodes[aNode].RecordCrash(mNow, aService, ++mCrash, aInFlight));
   }
@@ -143,7 +144,7 @@
       group.Now(),
       group.At(n).Snapshot(group.Now(), kService, Suspicion::Suspect));
   }
-  CHECK(group.StateOf(5, 1) == Suspicion::Confined);
+  CHECK(group.StateOf(5, 1) == Suspicion::Probation);
   group.Complete(5, Prints(1));
   CHECK(group.StateOf(5, 1) == Suspicion::Clear);
 }
@@ -187,7 +188,7 @@
   const std::string other = "archive";
   const RequestFingerprints there = Prints(7, 1, other);
   const TimePoint now = group.Now();
-  CHECK(group.At(0).StateOf(now, there) == Suspicion::Confined);
+  CHECK(group.At(0).StateOf(now, there) == Suspicion::Probation);
   CHECK(group.At(0).QuarantineLeft(now, there) == Duration::zero());
   group.Crash(0, { { .mFingerprints = there } }, other);
   CHECK(group.At(2).StateOf(now, there) == Suspicion::Quarantined);
@@ -203,7 +204,7 @@
     group.Crash(n, { Normal(7) });
   }
   group.Wait(minutes(10));
-  CHECK(group.AllHave(7, Suspicion::Confined));
+  CHECK(group.AllHave(7, Suspicion::Probation));
   group.Crash(0, { Normal(7) });
   CHECK(group.AllHave(7, Suspicion::Quarantined));
   group.Wait(minutes(10));
@@ -268,7 +269,8 @@
     CrashEvidence& node = nodes[rng.Below(nodes.size())];
     const uint64_t content = rng.Below(4);
     if (rng.Below(3) > 0) {
-      const bool isTrial = IsTried(node.StateOf(kStart, Prints(content)));
+      const bool isTrial =
+        node.StateOf(kStart, Prints(content)) == Suspicion::Probation;
       notices.push_back(
         node.RecordCrash(kStart,
                          kService,
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -273,8 +273,10 @@
   GateLoad mLoad;
   HttpResponse mHttp;                    ///< Only when answered.
   std::optional<UpstreamNotice> mNotice; ///< Empty if there is none.
+  /** Node of the service that tries the request, if the reason is Suspected. */
+  std::string mTrialNode;
 
-  MSGPACK_DEFINE(mCall, mOutcome, mReason, mLoad, mHttp, mNotice)
+  MSGPACK_DEFINE(mCall, mOutcome, mReason, mLoad, mHttp, mNotice, mTrialNode)
 };
 
 struct ForwardCancel
