--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -14,8 +14,8 @@
 
 namespace amaranthgap {
 
-/** @return fingerprints of a request by its host name, method, path and body.
- */
+/** @return fingerprints of a request. Its content is host name, method, path
+ * with query, and body; its resource is host name, decoded path and body. */
 [[nodiscard]] RequestFingerprints
 FingerprintsOf(const ForwardRequest& aRequest);
 
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -1,6 +1,7 @@
 #include "proxy/CrashExchange.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -11,13 +12,48 @@
 
 namespace amaranthgap {
 
+namespace {
+
+/** @return a path without its query, with percent-encoded bytes decoded. */
+std::string
+DecodedPath(std::string_view aPath)
+{
+  constexpr size_t kDigitCount = 2;
+  constexpr int kHexadecimal = 16;
+  aPath = aPath.substr(0, aPath.find('?'));
+  std::string out;
+  out.reserve(aPath.size());
+  for (size_t n = 0; n < aPath.size(); ++n) {
+    const std::string_view digits = aPath.substr(n + 1, kDigitCount);
+    uint8_t byte = 0;
+    const char* end = digits.data() + digits.size();
+    if (aPath[n] == '%' && digits.size() == kDigitCount &&
+        std::from_chars(digits.data(), end, byte, kHexadecimal).ptr == end) {
+      out += char(byte);
+      n += kDigitCount;
+    } else {
+      out += aPath[n];
+    }
+  }
+  return out;
+}
+
+} // namespace
+
 RequestFingerprints
 FingerprintsOf(const ForwardRequest& aRequest)
 {
-  const std::string host(FindHeader(aRequest.mHttp.mHeaders, "Host"));
-  const uint64_t content = FingerprintOf(host, "", aRequest.mHttp);
+  const HttpRequest& http = aRequest.mHttp;
+  const std::string host(FindHeader(http.mHeaders, "Host"));
+  const uint64_t content = FingerprintOf(host, "", http);
+  const uint64_t resource =
+    FingerprintOf(host.substr(0, host.find(':')),
+                  "",
+                  { .mPath = DecodedPath(http.mPath), .mBody = http.mBody });
   return { .mOfContent = content,
            .mFromCaller = Hash64(aRequest.mCallerService, content),
+           .mOfResource = Hash64(aRequest.mCallerService, resource),
+           .mPlace = resource,
            .mService = Hash64(aRequest.mService) };
 }
 
@@ -47,7 +83,7 @@
   const NodeId own{ mOptions.mNode };
   std::vector<NodeId> nodes = mOutlets.mServiceNodes();
   nodes.push_back(own);
-  return CrashCorrelator::DesignatedNode(aFingerprints.mOfContent, nodes)
+  return CrashCorrelator::DesignatedNode(aFingerprints.mPlace, nodes)
     .value_or(own);
 }
 
--- a/libs/proxy/src/UpstreamCrash.cpp
+++ b/libs/proxy/src/UpstreamCrash.cpp
@@ -94,6 +94,7 @@
                     { "route", it.mRoute },
                     { "content", fmt::format("{:016x}", prints.mOfContent) },
                     { "caller", fmt::format("{:016x}", prints.mFromCaller) },
+                    { "resource", fmt::format("{:016x}", prints.mOfResource) },
                     { "trial", it.mSuspect.mIsTrial ? "yes" : "no" },
                     { "instance", Instance() },
                     { "run_ms", std::to_string(ToMillis(it.mRunTime)) } });
--- a/libs/proxy/tests/CrashExchangeTest.cpp
+++ b/libs/proxy/tests/CrashExchangeTest.cpp
@@ -195,6 +195,8 @@
 private:
   static inline const RequestFingerprints kPrints{ .mOfContent = 7,
                                                    .mFromCaller = 8,
+                                                   .mOfResource = 9,
+                                                   .mPlace = 10,
                                                    .mService =
                                                      Hash64(kService) };
   struct Node
@@ -272,7 +274,9 @@
   std::vector<InFlightRequest> out;
   for (uint64_t n = aFirst; n < aFirst + aCount; ++n) {
     out.push_back({ .mFingerprints = { .mOfContent = Rng(n).Next(),
-                                       .mFromCaller = Rng(n).Next() + 1 } });
+                                       .mFromCaller = Rng(n).Next() + 1,
+                                       .mOfResource = Rng(n).Next() + 2,
+                                       .mPlace = Rng(n).Next() } });
   }
   return out;
 }
--- a/libs/quarantine/include/quarantine/CrashEvidence.h
+++ b/libs/quarantine/include/quarantine/CrashEvidence.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -35,15 +37,24 @@
   };
 };
 
-/** Fingerprints of a request: of its content alone and of its content from one
- * caller. A request may crash upstreams whoever sends it, or only if it comes
- * from that caller, while others use the same content without harm. They stay
- * the same when its route goes to another service. */
+/** Fingerprints of a request: of its content alone, of its content from one
+ * caller, and of the resource and body that this caller names. A request may
+ * crash upstreams whoever sends it, or only if it comes from that caller, while
+ * others use the same content without harm; and it may come with another query
+ * or method each time. They stay the same when its route goes to another
+ * service. */
 struct RequestFingerprints
 {
   uint64_t mOfContent = 0;
   uint64_t mFromCaller = 0;
-  uint64_t mService = 0; ///< Hash of the service that is to run it.
+  uint64_t mOfResource = 0; ///< From the caller, whatever query or method.
+  uint64_t mPlace = 0;      ///< The same for all that may share a trial node.
+  uint64_t mService = 0;    ///< Hash of the service that is to run it.
+
+  [[nodiscard]] std::array<uint64_t, 3> All() const
+  {
+    return { mOfContent, mFromCaller, mOfResource };
+  }
 
   auto operator<=>(const RequestFingerprints&) const = default;
 };
@@ -70,14 +81,14 @@
     size_t mMaxEntries = 4096;
     /** A content that completed here within this time is no suspect. */
     Duration mRecentCompletion = seconds(10);
-    size_t mMaxRecentCompletions = 8192;
+    size_t mMaxRecentCompletions = 12288;
   };
 
   explicit CrashEvidence(const Options& aOptions);
 
   /** @return the gravest state of a fingerprint at any service. */
   [[nodiscard]] Suspicion StateOf(TimePoint aNow, uint64_t aFingerprint) const;
-  /** @return the graver state of both fingerprints, at the service that is to
+  /** @return the gravest state of its fingerprints, at the service that is to
    * run the request. */
   [[nodiscard]] Suspicion StateOf(
     TimePoint aNow,
@@ -156,6 +167,11 @@
   Entry& FindOrAdd(TimePoint aNow,
                    const std::string& aService,
                    uint64_t aFingerprint);
+  /** @return the fingerprints under which a crash counts against what was in
+   * flight, and whether it ended a trial of them. */
+  [[nodiscard]] std::map<uint64_t, bool> Blamed(
+    TimePoint aNow,
+    const std::vector<InFlightRequest>& aInFlight) const;
   /** Adds a mark, or what it says beyond the known one.
    * @return whether something was new. */
   static bool AddMark(TimePoint aNow, Entry& aEntry, const CrashMark& aMark);
--- a/libs/quarantine/src/CrashEvidence.cpp
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -128,8 +128,7 @@
                        const RequestFingerprints& aFingerprints) const
 {
   Suspicion out = Suspicion::Clear;
-  for (const uint64_t fingerprint :
-       { aFingerprints.mOfContent, aFingerprints.mFromCaller }) {
+  for (const uint64_t fingerprint : aFingerprints.All()) {
     if (const auto it = mEntries.find(fingerprint); it != mEntries.end()) {
       out = std::max(out, StateAt(aNow, it->second, aFingerprints.mService));
     }
@@ -142,8 +141,7 @@
                               const RequestFingerprints& aFingerprints) const
 {
   Duration out{};
-  for (const uint64_t fingerprint :
-       { aFingerprints.mOfContent, aFingerprints.mFromCaller }) {
+  for (const uint64_t fingerprint : aFingerprints.All()) {
     if (const auto it = mEntries.find(fingerprint);
         it != mEntries.end() &&
         StateAt(aNow, it->second, aFingerprints.mService) ==
@@ -208,28 +206,46 @@
   return true;
 }
 
+std::map<uint64_t, bool>
+CrashEvidence::Blamed(TimePoint aNow,
+                      const std::vector<InFlightRequest>& aInFlight) const
+{
+  std::map<uint64_t, bool> out;
+  for (const InFlightRequest& it : aInFlight) {
+    // Of the fingerprints of a run, only those on probation were tried.
+    const auto isFailedTrial = [&](uint64_t aFingerprint) {
+      return it.mIsTrial && StateOf(aNow, aFingerprint) >= Suspicion::Probation;
+    };
+    const RequestFingerprints& prints = it.mFingerprints;
+    Suspicion ofContent = Suspicion::Clear;
+    for (const uint64_t fingerprint :
+         { prints.mOfContent, prints.mFromCaller }) {
+      ofContent = std::max(ofContent, StateOf(aNow, fingerprint));
+      out[fingerprint] |= isFailedTrial(fingerprint);
+    }
+    // Other requests share the resource: it is blamed for what the content
+    // alone does not explain.
+    const bool isResourceTrial =
+      ofContent < Suspicion::Probation && isFailedTrial(prints.mOfResource);
+    if (isResourceTrial || ofContent == Suspicion::Clear) {
+      out[prints.mOfResource] |= isResourceTrial;
+    }
+  }
+  return out;
+}
+
 CrashNotice
 CrashEvidence::RecordCrash(TimePoint aNow,
                            const std::string& aService,
                            uint64_t aCrash,
                            const std::vector<InFlightRequest>& aInFlight)
 {
-  std::map<uint64_t, bool> isTrial; // By fingerprint.
-  for (const InFlightRequest& it : aInFlight) {
-    for (const uint64_t fingerprint :
-         { it.mFingerprints.mOfContent, it.mFingerprints.mFromCaller }) {
-      isTrial[fingerprint] |= it.mIsTrial;
-    }
-  }
   CrashNotice out{ .mService = aService, .mCrash = aCrash };
-  for (const auto& [fingerprint, wasTrial] : isTrial) {
+  for (const auto& [fingerprint, failed] : Blamed(aNow, aInFlight)) {
     if (mRecent.Contains(fingerprint)) {
       continue;
     }
     Entry& entry = FindOrAdd(aNow, aService, fingerprint);
-    // Of the two fingerprints of a run, only the one on probation was tried.
-    const bool failed =
-      wasTrial && StateOf(aNow, entry) >= Suspicion::Probation;
     AddMark(
       aNow,
       entry,
@@ -253,8 +269,8 @@
                                 const RequestFingerprints& aFingerprints)
 {
   CrashNotice out;
-  for (const uint64_t fingerprint :
-       { aFingerprints.mOfContent, aFingerprints.mFromCaller }) {
+  bool endsProbation = false;
+  for (const uint64_t fingerprint : aFingerprints.All()) {
     mRecent.Add(aNow, fingerprint, mOptions);
     const auto it = mEntries.find(fingerprint);
     if (it == mEntries.end()) {
@@ -265,12 +281,13 @@
     for (CrashMark& mark : entry.mMarks) {
       mark.mIsCleared = true;
     }
-    if (before >= Suspicion::Probation) {
+    endsProbation |= before >= Suspicion::Probation;
+    if (before > Suspicion::Clear) {
       out.mService = entry.mService;
       out.mRecords.push_back(RecordOf(aNow, fingerprint, entry));
     }
   }
-  return out;
+  return endsProbation ? out : CrashNotice{};
 }
 
 bool
--- a/libs/quarantine/tests/CrashEvidenceTest.cpp
+++ b/libs/quarantine/tests/CrashEvidenceTest.cpp
@@ -20,6 +20,7 @@
 {
   return { .mOfContent = aContent,
            .mFromCaller = aContent * 1000 + aCaller,
+           .mOfResource = aContent * 1000 + aCaller + 500,
            .mService = Hash64(aService) };
 }
 
@@ -177,6 +178,54 @@
   CHECK(group.At(0).StateOf(now, Prints(1, 2)) == Suspicion::Clear);
 }
 
+// Guards against a crashing request that is another content each time, and
+// against one that takes turns among a few.
+TEST_CASE("a resource whose contents crash upstreams is quarantined")
+{
+  const auto contentCount = uint64_t(GENERATE(2, 3, 6));
+  EvidenceGroup group(4);
+  const auto ofResource = [](uint64_t aContent) {
+    RequestFingerprints out = Prints(aContent);
+    out.mOfResource = 1;
+    return out;
+  };
+  for (uint64_t n = 0; n < 3; ++n) {
+    group.Crash(n, { { .mFingerprints = ofResource(10 + n % contentCount) } });
+  }
+  const TimePoint now = group.Now();
+  CHECK(group.At(3).StateOf(now, ofResource(20)) == Suspicion::Quarantined);
+  CHECK(group.At(3).QuarantineLeft(now, ofResource(20)) == minutes(10));
+  CHECK(group.StateOf(3, 20) == Suspicion::Clear);
+}
+
+// Guards against the refusal of other requests for the resource of one that
+// crashes upstreams.
+TEST_CASE("a crashing content does not implicate its resource")
+{
+  EvidenceGroup group(4);
+  RequestFingerprints other = Prints(8);
+  other.mOfResource = Prints(7).mOfResource;
+  for (size_t n = 0; n < 3; ++n) {
+    group.Crash(n, { Normal(7) });
+  }
+  CHECK(group.AllHave(7, Suspicion::Quarantined));
+  CHECK(group.At(3).StateOf(group.Now(), other) < Suspicion::Probation);
+}
+
+// Guards against the refusal of a resource that most requests use unharmed.
+TEST_CASE("a completion for a resource clears it")
+{
+  EvidenceGroup group(4);
+  RequestFingerprints one = Prints(7);
+  RequestFingerprints other = Prints(8);
+  one.mOfResource = other.mOfResource = 1;
+  group.Crash(0, { { .mFingerprints = one } });
+  group.Crash(1, { { .mFingerprints = other } });
+  CHECK(group.At(3).StateOf(group.Now(), 1) == Suspicion::Probation);
+  group.Complete(2, other);
+  CHECK(group.At(3).StateOf(group.Now(), 1) == Suspicion::Clear);
+}
+
 // Guards against three more crashes at each service that a route moves to, and
 // against refusal by a service that may be able to run the request.
 TEST_CASE("a quarantined content gets one trial at each other service")
