--- a/libs/forwarding/include/forwarding/TargetPicker.h
+++ b/libs/forwarding/include/forwarding/TargetPicker.h
@@ -25,8 +25,6 @@
   double mKilobytes = 1; ///< Expected total size of request and answer.
   /** Preferred data centre; empty for any. */
   std::string_view mDataCentre;
-  /** Node to send to if it takes work; empty for any. */
-  std::string_view mNode;
 };
 
 /** Chooses the target of each attempt at one entry node by expected cost:
@@ -43,6 +41,8 @@
     std::string mDataCentre;
     std::string mRegion;
     uint64_t mSeed = 1;
+    /** Targets of a service that a node connects to in each other region. */
+    size_t mMostInOtherRegion = 2;
   };
 
   struct Choice
@@ -70,6 +70,15 @@
   std::optional<Choice> Choose(TimePoint aNow,
                                const PickRequest& aRequest,
                                const std::set<std::string>& aExclude);
+  /** Chooses the target that tries requests under suspicion of crashing
+   * upstreams. Entry nodes of one region choose the same one, and all entry
+   * nodes do where they are connected to all targets of the service.
+   * @param aKey the same for requests that must not run at two targets. */
+  [[nodiscard]] std::optional<Choice> ChooseForTrial(
+    TimePoint aNow,
+    std::string_view aService,
+    uint64_t aKey,
+    const std::set<std::string>& aExclude) const;
   /** @return the data centres with available targets of the service. */
   [[nodiscard]] std::vector<CandidateDataCentre> DataCentresOf(
     TimePoint aNow,
--- a/libs/forwarding/src/TargetPicker.cpp
+++ b/libs/forwarding/src/TargetPicker.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <limits>
 
+#include "base/Hash.h"
+
 namespace amaranthgap {
 
 namespace {
@@ -197,9 +199,6 @@
       ++runCount;
     }
     if (!aExclude.contains(node) && IsAvailable(aNow, it)) {
-      if (node == aRequest.mNode) {
-        return Choice{ node, it.mState.mInstance };
-      }
       candidates.push_back({ .mTarget = &it, .mRunMillis = run });
       hasPreferred |= it.mState.mDataCentre == aRequest.mDataCentre;
     }
@@ -240,6 +239,45 @@
   return Choice{ best.mNode, best.mInstance };
 }
 
+std::optional<TargetPicker::Choice>
+TargetPicker::ChooseForTrial(TimePoint aNow,
+                             std::string_view aService,
+                             uint64_t aKey,
+                             const std::set<std::string>& aExclude) const
+{
+  const auto service = mByService.find(aService);
+  if (service == mByService.end()) {
+    return std::nullopt;
+  }
+  std::vector<const Target*> candidates;
+  size_t ownRegionCount = 0;
+  for (const std::string& node : service->second) {
+    const Target& it = mTargets.at(node);
+    ownRegionCount += it.mDistance != Distance::OtherRegion ? 1 : 0;
+    if (!aExclude.contains(node) && IsAvailable(aNow, it)) {
+      candidates.push_back(&it);
+    }
+  }
+  // Entry nodes are connected to different targets of large regions other than
+  // their own.
+  if (ownRegionCount > mOptions.mMostInOtherRegion) {
+    std::erase_if(candidates, [](const Target* aOne) {
+      return aOne->mDistance == Distance::OtherRegion;
+    });
+  }
+  const auto best =
+    std::max_element(candidates.begin(),
+                     candidates.end(),
+                     [&](const Target* aOne, const Target* aOther) {
+                       return RendezvousWeight(aOne->mState.mNode, aKey) <
+                              RendezvousWeight(aOther->mState.mNode, aKey);
+                     });
+  if (best == candidates.end()) {
+    return std::nullopt;
+  }
+  return Choice{ (*best)->mState.mNode, (*best)->mState.mInstance };
+}
+
 // Power of two choices, so that entry nodes do not all send to the best target.
 // Both are drawn with weights that favour fast targets; the one that is
 // expected to finish first is chosen.
--- a/libs/proxy/include/proxy/CrashExchange.h
+++ b/libs/proxy/include/proxy/CrashExchange.h
@@ -6,7 +6,6 @@
 #include <string_view>
 #include <vector>
 
-#include "base/Ids.h"
 #include "base/Logger.h"
 #include "base/Rng.h"
 #include "quarantine/CrashEvidence.h"
@@ -46,8 +45,6 @@
      * this one has no connection to.
      * @param aIsUrgent whether a request is close to its quarantine. */
     std::function<void(bool aIsUrgent)> mReadKept;
-    /** @return the connected nodes of the same service that take work. */
-    std::function<std::vector<NodeId>()> mServiceNodes;
   };
 
   struct Options
@@ -67,14 +64,6 @@
    */
   [[nodiscard]] Duration QuarantineLeft(TimePoint aNow,
                                         const ForwardRequest& aRequest) const;
-  /** @return the one node of its service that tries a request on probation, as
-   * far as this node knows the others. */
-  [[nodiscard]] NodeId TrialNode(
-    const RequestFingerprints& aFingerprints) const;
-  [[nodiscard]] bool IsTrialNode(const RequestFingerprints& aFingerprints) const
-  {
-    return TrialNode(aFingerprints) == NodeId{ mOptions.mNode };
-  }
   /** @return the number of crashes of the upstream beside this node. */
   [[nodiscard]] uint64_t CrashCount() const { return mCrashCount; }
 
--- a/libs/proxy/include/proxy/Forwarder.h
+++ b/libs/proxy/include/proxy/Forwarder.h
@@ -105,6 +105,8 @@
   bool Admit(TimePoint aNow, Call& aCall);
   /** @return whether the request has what every request must have. */
   bool ReadCall(TimePoint aNow, Call& aCall, HttpRequest& aRequest);
+  std::optional<TargetPicker::Choice> ChooseTarget(TimePoint aNow,
+                                                   const Call& aCall);
   void Attempt(TimePoint aNow, Call& aCall);
   void AttemptEnded(TimePoint aNow, Call& aCall, ForwardReply aReply);
   void NoteReply(TimePoint aNow, const Call& aCall, const ForwardReply& aReply);
--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -77,16 +77,6 @@
   return mEvidence.QuarantineLeft(aNow, FingerprintsOf(aRequest));
 }
 
-NodeId
-CrashExchange::TrialNode(const RequestFingerprints& aFingerprints) const
-{
-  const NodeId own{ mOptions.mNode };
-  std::vector<NodeId> nodes = mOutlets.mServiceNodes();
-  nodes.push_back(own);
-  return CrashCorrelator::DesignatedNode(aFingerprints.mPlace, nodes)
-    .value_or(own);
-}
-
 void
 CrashExchange::Crashed(TimePoint aNow,
                        const std::vector<InFlightRequest>& aInFlight)
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "http/HttpHeaders.h"
+#include "proxy/CrashExchange.h"
 
 namespace amaranthgap {
 
@@ -61,8 +62,8 @@
   TimePoint mDeadline;
   AttemptHistory mHistory;
   std::set<std::string> mTried;
-  std::string mNode;      ///< Of the attempt under way.
-  std::string mTrialNode; ///< Where it is to run, as it is under suspicion.
+  std::string mNode;     ///< Of the attempt under way.
+  bool mIsTrial = false; ///< A target told that it is under suspicion.
   uint64_t mAttempt = 0;
   bool mIsOut = false; ///< An attempt is under way.
   AttemptReason mLastReason = AttemptReason::NoTarget;
@@ -210,19 +211,27 @@
   return true;
 }
 
+std::optional<TargetPicker::Choice>
+Forwarder::ChooseTarget(TimePoint aNow, const Call& aCall)
+{
+  const ForwardRequest& first = aCall.mRequest;
+  if (aCall.mIsTrial) {
+    return mPicker.ChooseForTrial(
+      aNow, aCall.mService, FingerprintsOf(first).mPlace, aCall.mTried);
+  }
+  return mPicker.Choose(aNow,
+                        { .mService = aCall.mService,
+                          .mKind = KindOf(first),
+                          .mLatencyTarget = aCall.mRoute->mLatencyTarget,
+                          .mKilobytes = mNeeds[first.mRoute].mKilobytes,
+                          .mDataCentre = aCall.mDataCentre },
+                        aCall.mTried);
+}
+
 void
 Forwarder::Attempt(TimePoint aNow, Call& aCall)
 {
-  const ForwardRequest& first = aCall.mRequest;
-  const auto target =
-    mPicker.Choose(aNow,
-                   { .mService = aCall.mService,
-                     .mKind = KindOf(first),
-                     .mLatencyTarget = aCall.mRoute->mLatencyTarget,
-                     .mKilobytes = mNeeds[first.mRoute].mKilobytes,
-                     .mDataCentre = aCall.mDataCentre,
-                     .mNode = aCall.mTrialNode },
-                   aCall.mTried);
+  const auto target = ChooseTarget(aNow, aCall);
   if (!target) {
     GiveUp(aNow, aCall, aCall.mLastReason);
     return;
@@ -234,6 +243,7 @@
   request.mTimeLeftMs =
     uint32_t(std::max<int64_t>(ToMillis(aCall.mDeadline - aNow), 0));
   request.mIsRetry = aCall.mHistory.mUpstreamAttempts > 0;
+  request.mIsTrial = aCall.mIsTrial;
   mPicker.Sent(target->mNode);
   aCall.mIsOut = true;
   const RequestHandle handle = aCall.mHandle;
@@ -338,9 +348,13 @@
   history.mMayHaveRun |= aReply.mOutcome == AttemptOutcome::MayHaveRun;
   history.mUpstreamAttempts += arrived ? 1 : 0;
   history.mRedirects += arrived ? 0 : 1;
-  aCall.mTrialNode = std::move(aReply.mTrialNode);
-  const bool isTrialNodeBusy = aCall.mTried.contains(aCall.mTrialNode);
-  const NextStep step = aNow >= aCall.mDeadline || isTrialNodeBusy
+  const bool isSuspected = aReply.mReason == AttemptReason::Suspected;
+  const bool isTrialBusy = isSuspected && aCall.mIsTrial;
+  if (isSuspected) {
+    aCall.mIsTrial = true;
+    aCall.mTried.erase(aCall.mNode); // It may be the one that tries it.
+  }
+  const NextStep step = aNow >= aCall.mDeadline || isTrialBusy
                           ? NextStep::GiveUp
                           : ChooseNextStep(history, aReply.mReason);
   if (step == NextStep::Redirect) {
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -80,7 +80,9 @@
         .mHeaders = mBinding.mHeaders,
         .mPicker = { .mDataCentre = mSettings.mDataCentre,
                      .mRegion = mSettings.mRegion,
-                     .mSeed = mSeed + 1 },
+                     .mSeed = mSeed + 1,
+                     .mMostInOtherRegion =
+                       NodeDirectory::Options{}.mMostInOtherRegion },
         .mSeed = mSeed + 2 },
       { .mAnswer =
           [this](RequestHandle aHandle, HttpResponse aResponse) {
--- a/libs/proxy/src/ProxyUpstream.cpp
+++ b/libs/proxy/src/ProxyUpstream.cpp
@@ -153,16 +153,6 @@
                if (aIsUrgent || mDiscovery->IsWatching()) {
                  mQuarantines.ReadSoon();
                }
-             },
-           .mServiceNodes =
-             [this] {
-               std::vector<NodeId> out;
-               for (const NodeState* it : mLinks.ConnectedStates()) {
-                 if (it->mTakesWork && it->mService == mUpstream.Service()) {
-                   out.push_back({ it->mNode });
-                 }
-               }
-               return out;
              } };
 }
 
--- a/libs/proxy/src/UpstreamCrash.cpp
+++ b/libs/proxy/src/UpstreamCrash.cpp
@@ -62,7 +62,7 @@
   }
   // Copies that come together must not crash an upstream each; and of two in
   // flight, a crash would not tell which one caused it.
-  return mCrashes.IsTrialNode(aAttempt.mFingerprints) && mTrialCount == 0
+  return aAttempt.mRequest.mIsTrial && mTrialCount == 0
            ? AttemptReason::None
            : AttemptReason::Suspected;
 }
--- a/libs/proxy/src/UpstreamSide.cpp
+++ b/libs/proxy/src/UpstreamSide.cpp
@@ -271,10 +271,6 @@
   ForwardReply reply;
   reply.mOutcome = AttemptOutcome::NotRun;
   reply.mReason = aReason;
-  if (const auto it = mAttempts.find(aExecution);
-      it != mAttempts.end() && aReason == AttemptReason::Suspected) {
-    reply.mTrialNode = mCrashes.TrialNode(it->second->mFingerprints).mValue;
-  }
   Finish(aExecution, std::move(reply));
 }
 
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -167,6 +167,7 @@
    * in thousandths. */
   uint32_t mShare = 1000;
   HttpRequest mHttp;
+  bool mIsTrial = false; ///< The entry node chose this one to try a suspect.
 
   MSGPACK_DEFINE(mCall,
                  mRequestId,
@@ -181,7 +182,8 @@
                  mIsNested,
                  mIsRetry,
                  mShare,
-                 mHttp)
+                 mHttp,
+                 mIsTrial)
 };
 
 /** Requests that meet the same load: of one route, with the priority of the
@@ -273,10 +275,8 @@
   GateLoad mLoad;
   HttpResponse mHttp;                    ///< Only when answered.
   std::optional<UpstreamNotice> mNotice; ///< Empty if there is none.
-  /** Node of the service that tries the request, if the reason is Suspected. */
-  std::string mTrialNode;
 
-  MSGPACK_DEFINE(mCall, mOutcome, mReason, mLoad, mHttp, mNotice, mTrialNode)
+  MSGPACK_DEFINE(mCall, mOutcome, mReason, mLoad, mHttp, mNotice)
 };
 
 struct ForwardCancel
