--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -121,7 +121,11 @@
   fleet.SetCrashDelay(milliseconds(70));
   fleet.SendCrashing(0, "GET"); // Two attempts.
   REQUIRE(fleet.Until([&] { return fleet.Crashes().size() == 2; }));
-  fleet.RunFor(milliseconds(100));
+  for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+    const size_t node = CrashFleet::kEntries + n;
+    REQUIRE(fleet.Until(
+      [&] { return fleet.Metric(node, "fingerprints_on_probation") > 0; }));
+  }
   for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
     fleet.SendCrashing(n % CrashFleet::kEntries, "GET");
   }
@@ -275,17 +279,37 @@
 {
   CrashFleet fleet(kOnceRoutes); // No attempt after a lost one.
   constexpr size_t kRequests = 12;
+  size_t running = 0;
+  bool isServing = false;
+  for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+    fleet.At(CrashFleet::kEntries + n)
+      .mUpstream->SetBehaviour([&](FakeUpstream::Connection& aConnection,
+                                   const HttpRequest& aRequest) {
+        ++running;
+        if (isServing) {
+          FakeUpstream::Respond(aConnection, aRequest, 200, "served");
+        }
+      });
+  }
   for (size_t crash = 0; crash < 2; ++crash) {
+    running = 0;
     for (size_t n = 0; n < kRequests; ++n) {
       fleet.SendOther(0, "/logs/" + std::to_string(n));
     }
-    fleet.RunFor(CrashFleet::kWorkTime / 2);
+    REQUIRE(fleet.Until([&] { return running == kRequests; }));
     for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
       fleet.CrashUpstream(CrashFleet::kEntries + n);
     }
     fleet.RunFor(CrashFleet::kDownTime + milliseconds(500));
   }
   CHECK(fleet.OthersWith(502) == 2 * kRequests);
+  for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+    const size_t node = CrashFleet::kEntries + n;
+    REQUIRE(fleet.Until([&] {
+      return fleet.Metric(node, "fingerprints_on_probation") >= int(kRequests);
+    }));
+  }
+  isServing = true;
   for (size_t n = 0; n < kRequests; ++n) {
     const std::string path = "/logs/" + std::to_string(n);
     CHECK(fleet.CallAndWait(1, "GET", path, "again" + path).mStatus == 200);
