--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -53,7 +53,7 @@
   return { .mOfContent = content,
            .mFromCaller = Hash64(aRequest.mCallerService, content),
            .mOfResource = Hash64(aRequest.mCallerService, resource),
-           .mPlace = resource,
+           .mTrialKey = resource,
            .mService = Hash64(aRequest.mService) };
 }
 
--- a/libs/proxy/src/Forwarder.cpp
+++ b/libs/proxy/src/Forwarder.cpp
@@ -217,7 +217,7 @@
   const ForwardRequest& first = aCall.mRequest;
   if (aCall.mIsTrial) {
     return mPicker.ChooseForTrial(
-      aNow, aCall.mService, FingerprintsOf(first).mPlace, aCall.mTried);
+      aNow, aCall.mService, FingerprintsOf(first).mTrialKey, aCall.mTried);
   }
   return mPicker.Choose(aNow,
                         { .mService = aCall.mService,
--- a/libs/proxy/tests/CrashExchangeTest.cpp
+++ b/libs/proxy/tests/CrashExchangeTest.cpp
@@ -175,7 +175,7 @@
                            .mTakesWork = true });
       }
       const auto chosen =
-        picker.ChooseForTrial(mNow, kService, aPrints.mPlace, {});
+        picker.ChooseForTrial(mNow, kService, aPrints.mTrialKey, {});
       out.insert(chosen ? chosen->mNode : "none");
     }
     return out;
@@ -205,7 +205,7 @@
   static inline const RequestFingerprints kPrints{ .mOfContent = 7,
                                                    .mFromCaller = 8,
                                                    .mOfResource = 9,
-                                                   .mPlace = 10,
+                                                   .mTrialKey = 10,
                                                    .mService =
                                                      Hash64(kService) };
   struct Node
@@ -285,7 +285,7 @@
     out.push_back({ .mFingerprints = { .mOfContent = Rng(n).Next(),
                                        .mFromCaller = Rng(n).Next() + 1,
                                        .mOfResource = Rng(n).Next() + 2,
-                                       .mPlace = Rng(n).Next() } });
+                                       .mTrialKey = Rng(n).Next() } });
   }
   return out;
 }
--- a/libs/quarantine/include/quarantine/CrashEvidence.h
+++ b/libs/quarantine/include/quarantine/CrashEvidence.h
@@ -48,7 +48,7 @@
   uint64_t mOfContent = 0;
   uint64_t mFromCaller = 0;
   uint64_t mOfResource = 0; ///< From the caller, whatever query or method.
-  uint64_t mPlace = 0;      ///< The same for all that may share a trial node.
+  uint64_t mTrialKey = 0;   ///< Requests with one key are tried at one target.
   uint64_t mService = 0;    ///< Hash of the service that is to run it.
 
   [[nodiscard]] std::array<uint64_t, 3> All() const
