Judge a resource by the contents of its crashes, not by their order

What callers saw: copies of a crashing request with another query or method each time crashed up to six upstreams again four seconds after the first ones.

Copies of one content that crash several upstreams before any node is told found the content clear at each of these nodes, and each crash counted against the resource: innocent requests for it were held for what one content had done.

Ruled out: notices that were late or lost (each one is in the logs of all nodes within the same second), and a completion that cleared the resource (no mark is cleared). Tried and dropped: to hold a resource unless some content was in flight at all of its crashes.

Change: each crash counts against the resource, and its mark says under which contents, by a bit each. A resource is on probation from two crashes on if more than one of its contents was in flight at them. Marks merge to the same result in any order. A failed trial of a content on probation counts against the content alone, as before, and any completion clears the resource, as before.

Before: "copies with other contents that come together hold their resource" and "a resource is held from the first crash under a second content on" failed. After: all of quarantine_tests and wire_tests pass; of proxy_tests, the test above and three others about suspects, plain build. No store call is added. A notice of a crash takes up to 9 bytes more for each resource in flight.

--- a/libs/proxy/src/CrashExchange.cpp
+++ b/libs/proxy/src/CrashExchange.cpp
@@ -125,10 +125,11 @@
   // a few in others, which pass suspects on. That is enough for requests that
   // were in flight at one crash, of which there are many.
   const bool isFromRegion = aFromRegion == mOptions.mRegion;
-  if (!aNews.mInFlight.empty() && !isFromRegion) {
-    const CrashNotice suspects{ .mService = aNews.mService,
-                                .mCrash = aNews.mCrash,
-                                .mInFlight = aNews.mInFlight };
+  const CrashNotice suspects{ .mService = aNews.mService,
+                              .mCrash = aNews.mCrash,
+                              .mInFlight = aNews.mInFlight,
+                              .mInFlightResources = aNews.mInFlightResources };
+  if (!suspects.IsEmpty() && !isFromRegion) {
     mOutlets.mSend(suspects, [&](const Peer& aPeer) {
       return aPeer.mService == aNews.mService &&
              (aFromRegion.empty() || aPeer.mRegion == mOptions.mRegion);
--- a/libs/proxy/tests/CrashFleet.h
+++ b/libs/proxy/tests/CrashFleet.h
@@ -17,6 +17,7 @@
   static constexpr Duration kWorkTime = milliseconds(60);
   static constexpr Duration kDownTime = milliseconds(1500);
   static inline const std::string kCrashingBody = "crash";
+  static inline const std::string kHarmlessQuery = "?harmless=";
 
   /** Request to the service under test. */
   struct Sent
@@ -95,6 +96,16 @@
   /** Sends a request whose run makes the call that crashes its upstreams. */
   void SendParentOfCrashing() { Send(0, "GET", "/crews/1", kCrashingBody); }
 
+  /** Sends a request like the one that crashes its upstreams, with a query
+   * with which it does not. */
+  void SendHarmless(size_t aEntry)
+  {
+    Send(aEntry,
+         "GET",
+         "/logs/77" + kHarmlessQuery + std::to_string(mSent.size()),
+         kCrashingBody);
+  }
+
   void SendOther(size_t aEntry, const std::string& aPath)
   {
     Send(aEntry, "GET", aPath, "");
@@ -172,16 +183,22 @@
             const std::string& aBody)
   {
     const auto id = "id-" + std::to_string(mSent.size());
-    mSent.push_back({ aBody == kCrashingBody,
+    mSent.push_back({ IsCrashing(aPath, aBody),
                       EventLoop::Now(),
                       Call(aEntry, aMethod, aPath, id, 3000, aBody) });
   }
 
+  static bool IsCrashing(const std::string& aPath, const std::string& aBody)
+  {
+    return aBody == kCrashingBody &&
+           aPath.find(kHarmlessQuery) == std::string::npos;
+  }
+
   void Serve(size_t aNode,
              FakeUpstream::Connection& aConnection,
              const HttpRequest& aRequest)
   {
-    if (aRequest.mBody == kCrashingBody) {
+    if (IsCrashing(aRequest.mPath, aRequest.mBody)) {
       ++mCrashingArrivals;
       if (mTimeoutEvery > 0 && mCrashingArrivals % mTimeoutEvery == 0) {
         FakeUpstream::Respond(aConnection, aRequest, 504, "no slot");
--- a/libs/proxy/tests/CrashingRequestTest.cpp
+++ b/libs/proxy/tests/CrashingRequestTest.cpp
@@ -157,6 +157,25 @@
   CheckLateRuns(fleet);
 }
 
+// Guards against the refusal of a resource for copies of one content that crash
+// several upstreams before any node is told.
+TEST_CASE("requests that resemble a crashing one are served together")
+{
+  CrashFleet fleet(kRoutes);
+  fleet.SetCrashDelay(milliseconds(70));
+  for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+    fleet.SendCrashing(0, "GET");
+  }
+  REQUIRE(fleet.Until([&] { return fleet.Crashes().size() >= 3; }));
+  fleet.RunFor(CrashFleet::kDownTime + milliseconds(500));
+  for (size_t n = 0; n < CrashFleet::kUpstreams; ++n) {
+    fleet.SendHarmless(0);
+  }
+  fleet.RunFor(seconds(1));
+  INFO(Timeline(fleet));
+  CHECK(fleet.OthersWith(200) == CrashFleet::kUpstreams);
+}
+
 // Guards against a 504 of a request that never ran, taken as its completion.
 TEST_CASE("a crashing request that times out in a queue stays under suspicion")
 {
--- a/libs/quarantine/include/quarantine/CrashEvidence.h
+++ b/libs/quarantine/include/quarantine/CrashEvidence.h
@@ -20,8 +20,9 @@
 {
   Clear,
   Suspect,     ///< In flight at one crash.
-  Probation,   ///< In flight at two or more; runs at one node of the service,
-               ///< as the only such one there.
+  Probation,   ///< In flight at two or more, a resource with more than one of
+               ///< its contents; runs at one node of the service, as the only
+               ///< such one there.
   Quarantined, ///< Crashed an upstream while on probation; refused at the
                ///< services that it has crashed upstreams of.
 };
@@ -167,11 +168,23 @@
   Entry& FindOrAdd(TimePoint aNow,
                    const std::string& aService,
                    uint64_t aFingerprint);
-  /** @return the fingerprints under which a crash counts against what was in
-   * flight, and whether it ended a trial of them. */
-  [[nodiscard]] std::map<uint64_t, bool> Blamed(
+  /** What a crash counts for against one fingerprint. */
+  struct Blame
+  {
+    bool mIsFailedTrial = false;
+    uint64_t mContents = 0; ///< As in CrashMark.
+  };
+  /** @return the fingerprints of what was in flight. */
+  [[nodiscard]] std::map<uint64_t, Blame> Blamed(
     TimePoint aNow,
     const std::vector<InFlightRequest>& aInFlight) const;
+  /** Adds what is known of a fingerprint to what other nodes have to know.
+   * @param aContents of the latest crash, as in CrashMark. */
+  static void AddNews(TimePoint aNow,
+                      uint64_t aFingerprint,
+                      const Entry& aEntry,
+                      uint64_t aContents,
+                      CrashNotice& aNews);
   /** Adds a mark, or what it says beyond the known one.
    * @return whether something was new. */
   static bool AddMark(TimePoint aNow, Entry& aEntry, const CrashMark& aMark);
--- a/libs/quarantine/src/CrashEvidence.cpp
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/CrashEvidence.h"
 
 #include <algorithm>
+#include <bit>
 #include <map>
 #include <set>
 
@@ -25,6 +26,34 @@
     }));
 }
 
+// A Bloom filter with one hash: contents that share a bit count as one.
+uint64_t
+ContentBit(uint64_t aContent)
+{
+  constexpr uint64_t kBitCount = 64;
+  return uint64_t{ 1 } << (aContent % kBitCount);
+}
+
+/** @return the contents of a resource that were in flight at crashes; none for
+ * a content itself. */
+uint64_t
+ContentsOf(const std::vector<CrashMark>& aMarks)
+{
+  uint64_t out = 0;
+  for (const CrashMark& it : aMarks) {
+    out |= it.mIsCleared ? 0 : it.mContents;
+  }
+  return out;
+}
+
+/** @return whether all crashes of a resource were under the same content, which
+ * may be the only one that crashes upstreams. */
+bool
+HasOneContent(const std::vector<CrashMark>& aMarks)
+{
+  return std::has_single_bit(ContentsOf(aMarks));
+}
+
 bool
 HasFailedTrial(const std::vector<CrashMark>& aMarks)
 {
@@ -100,7 +129,8 @@
     return Suspicion::Quarantined;
   }
   const size_t count = UnclearedCount(aEntry.mMarks);
-  if (hasFailedTrial || count >= kCrashesToProbation) {
+  if (hasFailedTrial ||
+      (count >= kCrashesToProbation && !HasOneContent(aEntry.mMarks))) {
     return Suspicion::Probation;
   }
   return count > 0 ? Suspicion::Suspect : Suspicion::Clear;
@@ -187,16 +217,21 @@
     const CrashMark before = *it;
     it->mIsTrial |= aMark.mIsTrial;
     it->mIsCleared |= aMark.mIsCleared;
-    return it->mIsTrial != before.mIsTrial ||
+    it->mContents |= aMark.mContents;
+    return it->mContents != before.mContents ||
+           it->mIsTrial != before.mIsTrial ||
            it->mIsCleared != before.mIsCleared;
   }
   if (marks.size() >= kMaxMarks) {
-    // A cleared mark counts no more; of the others, enough remain.
+    // A cleared mark counts no more; of the others, enough remain, unless the
+    // new one is the first under another content.
     const auto cleared =
       std::find_if(marks.begin(), marks.end(), [](const CrashMark& aOther) {
         return aOther.mIsCleared;
       });
-    if (cleared == marks.end() && !aMark.mIsTrial) {
+    const bool addsContent =
+      HasOneContent(marks) && (aMark.mContents & ~ContentsOf(marks)) != 0;
+    if (cleared == marks.end() && !aMark.mIsTrial && !addsContent) {
       return false;
     }
     marks.erase(cleared == marks.end() ? marks.begin() : cleared);
@@ -206,11 +241,11 @@
   return true;
 }
 
-std::map<uint64_t, bool>
+std::map<uint64_t, CrashEvidence::Blame>
 CrashEvidence::Blamed(TimePoint aNow,
                       const std::vector<InFlightRequest>& aInFlight) const
 {
-  std::map<uint64_t, bool> out;
+  std::map<uint64_t, Blame> out;
   for (const InFlightRequest& it : aInFlight) {
     // Of the fingerprints of a run, only those on probation were tried.
     const auto isFailedTrial = [&](uint64_t aFingerprint) {
@@ -221,19 +256,34 @@
     for (const uint64_t fingerprint :
          { prints.mOfContent, prints.mFromCaller }) {
       ofContent = std::max(ofContent, StateOf(aNow, fingerprint));
-      out[fingerprint] |= isFailedTrial(fingerprint);
+      out[fingerprint].mIsFailedTrial |= isFailedTrial(fingerprint);
     }
-    // Other requests share the resource: it is blamed for what the content
-    // alone does not explain.
-    const bool isResourceTrial =
+    // Other requests share the resource: a trial of a content on probation is
+    // none of the resource.
+    Blame& ofResource = out[prints.mOfResource];
+    ofResource.mIsFailedTrial |=
       ofContent < Suspicion::Probation && isFailedTrial(prints.mOfResource);
-    if (isResourceTrial || ofContent == Suspicion::Clear) {
-      out[prints.mOfResource] |= isResourceTrial;
-    }
+    ofResource.mContents |= ContentBit(prints.mOfContent);
   }
   return out;
 }
 
+void
+CrashEvidence::AddNews(TimePoint aNow,
+                       uint64_t aFingerprint,
+                       const Entry& aEntry,
+                       uint64_t aContents,
+                       CrashNotice& aNews)
+{
+  if (StateOf(aNow, aEntry) >= Suspicion::Probation) {
+    aNews.mRecords.push_back(RecordOf(aNow, aFingerprint, aEntry));
+  } else if (aContents != 0) {
+    aNews.mInFlightResources.push_back({ aFingerprint, aContents });
+  } else {
+    aNews.mInFlight.push_back(aFingerprint);
+  }
+}
+
 CrashNotice
 CrashEvidence::RecordCrash(TimePoint aNow,
                            const std::string& aService,
@@ -241,25 +291,23 @@
                            const std::vector<InFlightRequest>& aInFlight)
 {
   CrashNotice out{ .mService = aService, .mCrash = aCrash };
-  for (const auto& [fingerprint, failed] : Blamed(aNow, aInFlight)) {
+  for (const auto& [fingerprint, blame] : Blamed(aNow, aInFlight)) {
     if (mRecent.Contains(fingerprint)) {
       continue;
     }
     Entry& entry = FindOrAdd(aNow, aService, fingerprint);
-    AddMark(
-      aNow,
-      entry,
-      { .mCrash = aCrash, .mService = Hash64(aService), .mIsTrial = failed });
+    AddMark(aNow,
+            entry,
+            { .mCrash = aCrash,
+              .mService = Hash64(aService),
+              .mIsTrial = blame.mIsFailedTrial,
+              .mContents = blame.mContents });
     entry.mService = aService;
-    if (failed) {
+    if (blame.mIsFailedTrial) {
       entry.mQuarantineEnd = aNow + mOptions.mQuarantine;
       entry.mLatest = entry.mQuarantineEnd;
     }
-    if (StateOf(aNow, entry) >= Suspicion::Probation) {
-      out.mRecords.push_back(RecordOf(aNow, fingerprint, entry));
-    } else {
-      out.mInFlight.push_back(fingerprint);
-    }
+    AddNews(aNow, fingerprint, entry, blame.mContents, out);
   }
   return out;
 }
@@ -335,19 +383,21 @@
   for (const CrashRecord& it : aNotice.mRecords) {
     MergeRecord(aNow, aNotice.mService, it, out);
   }
-  for (const uint64_t fingerprint : aNotice.mInFlight) {
-    Entry& entry = FindOrAdd(aNow, aNotice.mService, fingerprint);
-    if (!AddMark(
-          aNow,
-          entry,
-          { .mCrash = aNotice.mCrash, .mService = Hash64(aNotice.mService) })) {
-      continue;
-    }
-    if (StateOf(aNow, entry) >= Suspicion::Probation) {
-      out.mRecords.push_back(RecordOf(aNow, fingerprint, entry));
-    } else {
-      out.mInFlight.push_back(fingerprint);
+  const auto add = [&](uint64_t aFingerprint, uint64_t aContents) {
+    Entry& entry = FindOrAdd(aNow, aNotice.mService, aFingerprint);
+    if (AddMark(aNow,
+                entry,
+                { .mCrash = aNotice.mCrash,
+                  .mService = Hash64(aNotice.mService),
+                  .mContents = aContents })) {
+      AddNews(aNow, aFingerprint, entry, aContents, out);
     }
+  };
+  for (const uint64_t fingerprint : aNotice.mInFlight) {
+    add(fingerprint, 0);
+  }
+  for (const auto& [fingerprint, contents] : aNotice.mInFlightResources) {
+    add(fingerprint, contents);
   }
   return out;
 }
--- a/libs/quarantine/tests/CrashEvidenceTest.cpp
+++ b/libs/quarantine/tests/CrashEvidenceTest.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <catch2/catch.hpp>
 
@@ -30,7 +31,17 @@
   return { .mFingerprints = Prints(aContent, aCaller) };
 }
 
-/** Nodes of one service that get each other's notices at once. */
+constexpr uint64_t kResource = 1;
+
+InFlightRequest
+OfResource(uint64_t aContent)
+{
+  InFlightRequest out = Normal(aContent);
+  out.mFingerprints.mOfResource = kResource;
+  return out;
+}
+
+/** Nodes of one service that get each other's notices at once, or held back. */
 class EvidenceGroup
 {
 public:
@@ -56,6 +67,16 @@
     Tell(mNodes[aNode].RecordCompletion(mNow, aPrints));
   }
 
+  /** Holds what nodes tell each other back. */
+  void HoldNotices() { mHoldsNotices = true; }
+  void PassNotices()
+  {
+    mHoldsNotices = false;
+    for (const CrashNotice& it : std::exchange(mHeld, {})) {
+      Tell(it);
+    }
+  }
+
   void Wait(Duration aTime)
   {
     mNow += aTime;
@@ -74,12 +95,22 @@
       return aNode.StateOf(mNow, Prints(aContent)) == aState;
     });
   }
+  [[nodiscard]] bool AllHaveResource(Suspicion aState) const
+  {
+    return std::all_of(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+      return aNode.StateOf(mNow, kResource) == aState;
+    });
+  }
   [[nodiscard]] TimePoint Now() const { return mNow; }
   CrashEvidence& At(size_t aNode) { return mNodes[aNode]; }
 
 private:
   void Tell(const CrashNotice& aNotice)
   {
+    if (mHoldsNotices) {
+      mHeld.push_back(aNotice);
+      return;
+    }
     std::vector<CrashNotice> waiting{ aNotice };
     while (!waiting.empty()) {
       const CrashNotice notice = waiting.back();
@@ -94,6 +125,8 @@
   }
 
   std::vector<CrashEvidence> mNodes;
+  bool mHoldsNotices = false;
+  std::vector<CrashNotice> mHeld;
   TimePoint mNow = kStart;
   uint64_t mCrash = 0;
 };
@@ -184,20 +217,68 @@
 {
   const auto contentCount = uint64_t(GENERATE(2, 3, 6));
   EvidenceGroup group(4);
-  const auto ofResource = [](uint64_t aContent) {
-    RequestFingerprints out = Prints(aContent);
-    out.mOfResource = 1;
-    return out;
-  };
   for (uint64_t n = 0; n < 3; ++n) {
-    group.Crash(n, { { .mFingerprints = ofResource(10 + n % contentCount) } });
+    group.Crash(n, { OfResource(10 + n % contentCount) });
   }
   const TimePoint now = group.Now();
-  CHECK(group.At(3).StateOf(now, ofResource(20)) == Suspicion::Quarantined);
-  CHECK(group.At(3).QuarantineLeft(now, ofResource(20)) == minutes(10));
+  const RequestFingerprints other = OfResource(20).mFingerprints;
+  CHECK(group.At(3).StateOf(now, other) == Suspicion::Quarantined);
+  CHECK(group.At(3).QuarantineLeft(now, other) == minutes(10));
   CHECK(group.StateOf(3, 20) == Suspicion::Clear);
 }
 
+// Guards against copies that crash an upstream together, so that each of their
+// contents is a suspect before it crashes the next one.
+TEST_CASE("copies with other contents that come together hold their resource")
+{
+  const bool crossesNotices = GENERATE(false, true);
+  INFO("notices cross: " << crossesNotices);
+  EvidenceGroup group(4);
+  const std::vector<InFlightRequest> copies{ OfResource(11),
+                                             OfResource(12),
+                                             OfResource(13) };
+  group.Crash(0, copies);
+  if (crossesNotices) {
+    group.HoldNotices();
+  }
+  const size_t secondCount = crossesNotices ? copies.size() : 1;
+  for (size_t n = 0; n < secondCount; ++n) {
+    group.Crash(1 + n, { copies[n] });
+  }
+  group.PassNotices();
+  CHECK(group.AllHaveResource(Suspicion::Probation));
+}
+
+// Guards against many crashes under one content that hide those under others,
+// and against innocent requests that are held for crashes at the same time.
+TEST_CASE("a resource is held from the first crash under a second content on")
+{
+  EvidenceGroup group(12);
+  group.HoldNotices();
+  for (size_t n = 0; n < 9; ++n) {
+    group.Crash(n, { OfResource(11) });
+  }
+  group.PassNotices();
+  CHECK(group.AllHaveResource(Suspicion::Suspect));
+  group.Crash(9, { OfResource(12) });
+  CHECK(group.AllHaveResource(Suspicion::Probation));
+}
+
+// Guards against a resource that stays held because innocent requests for it
+// were in flight beside the one that crashes upstreams.
+TEST_CASE("a completion frees a resource from the crashes of one content")
+{
+  EvidenceGroup group(4);
+  group.Crash(0, { OfResource(11), OfResource(12) });
+  group.Crash(1, { OfResource(13), OfResource(11) });
+  group.Complete(2, OfResource(12).mFingerprints);
+  CHECK(group.AllHaveResource(Suspicion::Clear));
+  group.Crash(3, { OfResource(11) });
+  CHECK(group.At(0).StateOf(group.Now(), OfResource(11).mFingerprints) ==
+        Suspicion::Quarantined);
+  CHECK(group.AllHaveResource(Suspicion::Suspect));
+}
+
 // Guards against the refusal of other requests for the resource of one that
 // crashes upstreams.
 TEST_CASE("a crashing content does not implicate its resource")
--- a/libs/wire/include/wire/ForwardMessages.h
+++ b/libs/wire/include/wire/ForwardMessages.h
@@ -338,8 +338,11 @@
   uint64_t mService = 0;   ///< Hash of the service of the upstream.
   bool mIsTrial = false;   ///< It was the only such suspect in flight.
   bool mIsCleared = false; ///< A request with the same content completed since.
+  /** For a resource, a bit for each of its contents in flight, by their hash.
+   */
+  uint64_t mContents = 0;
 
-  MSGPACK_DEFINE(mCrash, mService, mIsTrial, mIsCleared)
+  MSGPACK_DEFINE(mCrash, mService, mIsTrial, mIsCleared, mContents)
 };
 
 /** What is known of the requests with one fingerprint. */
@@ -352,21 +355,31 @@
   MSGPACK_DEFINE(mFingerprint, mMarks, mQuarantineMs)
 };
 
+/** Resource in flight at a crash. */
+struct InFlightResource
+{
+  uint64_t mFingerprint = 0;
+  uint64_t mContents = 0; ///< As in CrashMark.
+
+  MSGPACK_DEFINE(mFingerprint, mContents)
+};
+
 /** Tells the nodes of a service of a crash and of requests under suspicion, and
  * other nodes of the quarantined ones. */
 struct CrashNotice
 {
   std::string mService;
   uint64_t mCrash = 0;             ///< 0 if there is no crash to tell of.
-  std::vector<uint64_t> mInFlight; ///< Fingerprints, at that crash.
+  std::vector<uint64_t> mInFlight; ///< Contents, at that crash.
   std::vector<CrashRecord> mRecords;
+  std::vector<InFlightResource> mInFlightResources;
 
   [[nodiscard]] bool IsEmpty() const
   {
-    return mInFlight.empty() && mRecords.empty();
+    return mInFlight.empty() && mRecords.empty() && mInFlightResources.empty();
   }
 
-  MSGPACK_DEFINE(mService, mCrash, mInFlight, mRecords)
+  MSGPACK_DEFINE(mService, mCrash, mInFlight, mRecords, mInFlightResources)
 };
 
 /** Order of the alternatives is the message kind on the wire. */
