--- a/libs/quarantine/include/quarantine/CrashEvidence.h
+++ b/libs/quarantine/include/quarantine/CrashEvidence.h
@@ -20,9 +20,9 @@
 {
   Clear,
   Suspect,     ///< In flight at one crash.
-  Probation,   ///< In flight at two or more, a resource with more than one of
-               ///< its contents; runs at one node of the service, as the only
-               ///< such one there.
+  Probation,   ///< In flight at two crashes or more; a resource, under two of
+               ///< its contents or more. Runs at one node of the service, as
+               ///< the only such one there.
   Quarantined, ///< Crashed an upstream while on probation; refused at the
                ///< services that it has crashed upstreams of.
 };
@@ -168,18 +168,19 @@
   Entry& FindOrAdd(TimePoint aNow,
                    const std::string& aService,
                    uint64_t aFingerprint);
-  /** What a crash counts for against one fingerprint. */
+  /** How a crash counts against one fingerprint. */
   struct Blame
   {
     bool mIsFailedTrial = false;
     uint64_t mContents = 0; ///< As in CrashMark.
   };
-  /** @return the fingerprints of what was in flight. */
+  /** @return the fingerprints of the requests in flight, with their blame. */
   [[nodiscard]] std::map<uint64_t, Blame> Blamed(
     TimePoint aNow,
     const std::vector<InFlightRequest>& aInFlight) const;
-  /** Adds what is known of a fingerprint to what other nodes have to know.
-   * @param aContents of the latest crash, as in CrashMark. */
+  /** Adds a fingerprint to what other nodes have to know: as a record from
+   * probation on, as in flight at this crash before that.
+   * @param aContents at this crash, as in CrashMark. */
   static void AddNews(TimePoint aNow,
                       uint64_t aFingerprint,
                       const Entry& aEntry,
--- a/libs/quarantine/src/CrashEvidence.cpp
+++ b/libs/quarantine/src/CrashEvidence.cpp
@@ -223,8 +223,8 @@
            it->mIsCleared != before.mIsCleared;
   }
   if (marks.size() >= kMaxMarks) {
-    // A cleared mark counts no more; of the others, enough remain, unless the
-    // new one is the first under another content.
+    // A cleared mark counts no more; of the others, enough remain. A mark is
+    // needed all the same if it is the first under another content.
     const auto cleared =
       std::find_if(marks.begin(), marks.end(), [](const CrashMark& aOther) {
         return aOther.mIsCleared;
@@ -258,8 +258,8 @@
       ofContent = std::max(ofContent, StateOf(aNow, fingerprint));
       out[fingerprint].mIsFailedTrial |= isFailedTrial(fingerprint);
     }
-    // Other requests share the resource: a trial of a content on probation is
-    // none of the resource.
+    // Other requests share the resource: it is not blamed for the failed trial
+    // of a content that is on probation itself.
     Blame& ofResource = out[prints.mOfResource];
     ofResource.mIsFailedTrial |=
       ofContent < Suspicion::Probation && isFailedTrial(prints.mOfResource);
