Show that short requests of one client end a node

A client that sends some 100 KB of very short requests behind eight safe ones ends the process with SIGSEGV: each request that is answered at once takes the stack of the loop that reads requests again. The requests of other clients that were at work are never answered (LOST).

The large body of review/8 is sent twelve times instead of eight.

--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -171,7 +171,7 @@
   Pause(300);
   if (aSetting.mHasTrouble) {
     const std::string request = "G / HTTP/1.1\r\n\r\n";
-    constexpr size_t kFirst = 1000;
+    constexpr size_t kFirst = 1024;
     constexpr size_t kMore = 6000;
     aSetting.mRecord.Write("hostile client: " + std::to_string(kFirst + kMore) +
                            " requests of " + std::to_string(request.size()) +
@@ -333,7 +333,7 @@
   });
   Tally tally;
   const std::string body((aSetting.mHasTrouble ? 40 : 8) * kMegabyte, 'b');
-  for (int n = 0; n < 8; ++n) {
+  for (int n = 0; n < 12; ++n) {
     Socket socket = Socket::Connect(fleet.Front().Callers());
     fleet.Ask(socket, "GET", "/read/5", "", 4000);
     tally.Add(fleet.Ask(socket, "POST", "/book/200", body, 5000));
