--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -2,6 +2,7 @@
 
 #include <list>
 #include <random>
+#include <set>
 
 #include "Node.h"
 #include "Record.h"
@@ -29,51 +30,68 @@
   milliseconds mTime{};
 };
 
-/** Machines of a small deployment with a store. One machine, alone in its zone,
- * hosts the service "front", to which no route leads; the others host "back".
- */
+/** Machines of a small deployment with a store. */
 class Fleet
 {
 public:
+  /** What a machine is and hosts. */
+  struct MachineOptions
+  {
+    std::string mService;
+    std::string mZone;
+    size_t mMemoryMb = 160;
+  };
   struct Machine
   {
+    std::string mName;
+    std::string mService;
     std::unique_ptr<Target> mTarget;
     std::unique_ptr<Node> mNode;
   };
-  struct Limits
-  {
-    size_t mMemoryMb = 160;
-    size_t mDescriptors = 4100;
-  };
 
-  /** @param aBacks limits of the machines of "back". */
+  /** @param aService to which the first configuration leads all routes. */
   Fleet(std::string aRoot,
         std::string aFolder,
         Record& aRecord,
-        Limits aFront,
-        const std::vector<Limits>& aBacks,
+        const std::vector<MachineOptions>& aMachines,
+        const std::string& aService,
         int aTimeoutMillis)
     : mRoot(std::move(aRoot))
     , mFolder(std::move(aFolder))
     , mRecord(aRecord)
+    , mTimeoutMillis(aTimeoutMillis)
     , mNetwork(DrawNetwork())
     , mStore(mNetwork + ".1")
   {
-    mStore.Put("op/config", Configuration(aTimeoutMillis));
-    Add("front", aFront);
-    for (const Limits& it : aBacks) {
-      Add("back", it);
+    for (const MachineOptions& it : aMachines) {
+      mServices.insert(it.mService);
+    }
+    Lead(aService);
+    for (const MachineOptions& it : aMachines) {
+      Add(it);
     }
   }
 
+  [[nodiscard]] Store& Platform() { return mStore; }
+  /** Leads all routes to a service, by a new configuration. */
+  void Lead(const std::string& aService)
+  {
+    mVersion += 3;
+    mStore.Put("op/config", Configuration(aService));
+    mRecord.Write("operator: version " + std::to_string(mVersion) +
+                  ", all routes to " + aService);
+  }
   [[nodiscard]] Node& Front() { return *mMachines.front().mNode; }
   [[nodiscard]] std::list<Machine>& Machines() { return mMachines; }
-  /** @return how often the targets began to work on a request. */
-  size_t RunsOf(const std::string& aId)
+  /** @return how often the targets of a service, or of any if it is empty,
+   * began to work on a request. */
+  size_t RunsOf(const std::string& aId, const std::string& aService = "")
   {
     size_t out = 0;
     for (const Machine& it : mMachines) {
-      out += it.mTarget->RunsOf(aId);
+      if (aService.empty() || aService == it.mService) {
+        out += it.mTarget->RunsOf(aId);
+      }
     }
     return out;
   }
@@ -191,7 +209,7 @@
            std::to_string(1 + device() % 250);
   }
 
-  static std::string Configuration(int aTimeoutMillis)
+  std::string Configuration(const std::string& aService) const
   {
     using Json = nlohmann::json;
     const auto rule = [&](const char* aName, const char* aKind) {
@@ -202,62 +220,67 @@
                    { "priority", 1 },
                    { "aimMs", 1000 },
                    { "action",
-                     { { "service", "back" },
-                       { "timeoutMs", aTimeoutMillis },
+                     { { "service", aService },
+                       { "timeoutMs", mTimeoutMillis },
                        { "attempts", 2 } } } };
     };
-    const auto cluster = [](const char* aName) {
+    const auto cluster = [](const std::string& aName) {
       return Json{ { "name", aName },
                    { "healthPath", "/health" },
                    { "maxConnections", 300 },
                    { "protocol", "h1" },
                    { "tls", false } };
     };
-    Json out{
-      { "version", "00000003" },
-      { "limits",
-        { { "maxHeaderBytes", 16384 },
-          { "maxBodyBytes", 67108864 },
-          { "headerTimeoutMs", 3000 },
-          { "idleTimeoutMs", 15000 } } },
-      { "listeners",
-        Json::array({ { { "hostname", "h.example" },
-                        { "ruleSet",
-                          Json::array({ rule("read", "safe"),
-                                        rule("book", "non_idempotent"),
-                                        rule("photo", "upload"),
+    Json clusters = Json::array();
+    for (const std::string& it : mServices) {
+      clusters.push_back(cluster(it));
+    }
+    std::string version = std::to_string(mVersion);
+    version.insert(0, 8 - version.size(), '0'); // Digits are hexadecimal.
+    Json out{ { "version", version },
+              { "limits",
+                { { "maxHeaderBytes", 16384 },
+                  { "maxBodyBytes", 67108864 },
+                  { "headerTimeoutMs", 3000 },
+                  { "idleTimeoutMs", 15000 } } },
+              { "listeners",
+                Json::array(
+                  { { { "hostname", "h.example" },
+                      { "ruleSet",
+                        Json::array({ rule("read", "safe"),
+                                      rule("book", "non_idempotent"),
+                                      rule("photo", "upload"),
 
-                                        rule("page", "safe") }) } } }) },
-      { "clusters", Json::array({ cluster("front"), cluster("back") }) }
-    };
+                                      rule("page", "safe") }) } } }) },
+              { "clusters", clusters } };
     return out.dump();
   }
 
-  void Add(const std::string& aService, const Limits& aLimits)
+  void Add(const MachineOptions& aOptions)
   {
     const std::string number = std::to_string(mMachines.size() + 1);
-    const std::string zone = "zone-" + aService;
     const std::string host =
       mNetwork + '.' + std::to_string(mMachines.size() + 10);
     Machine machine;
+    machine.mName = "sidecar-" + aOptions.mZone + '-' + number;
+    machine.mService = aOptions.mService;
     machine.mTarget =
-      std::make_unique<Target>(Target::Options{ .mService = aService,
+      std::make_unique<Target>(Target::Options{ .mService = aOptions.mService,
                                                 .mInstance = "i-" + number,
                                                 .mHost = host,
-                                                .mZone = zone },
+                                                .mZone = aOptions.mZone },
                                mRecord);
     machine.mNode = std::make_unique<Node>(
       Node::Options{ .mRoot = mRoot,
                      .mFolder = mFolder,
-                     .mName = "sidecar-" + zone + "-" + number,
+                     .mName = machine.mName,
                      .mHost = host,
                      .mRegion = "region-1",
-                     .mZone = zone,
-                     .mService = aService,
+                     .mZone = aOptions.mZone,
+                     .mService = aOptions.mService,
                      .mTarget = machine.mTarget->At(),
-                     .mStore = mStore.At(),
-                     .mMemoryMb = aLimits.mMemoryMb,
-                     .mDescriptors = aLimits.mDescriptors },
+                     .mStore = mStore.Open(machine.mName),
+                     .mMemoryMb = aOptions.mMemoryMb },
       mRecord);
     machine.mTarget->ReportTo(machine.mNode->Reports());
     mMachines.push_back(std::move(machine));
@@ -266,6 +289,9 @@
   std::string mRoot;
   std::string mFolder;
   Record& mRecord;
+  int mTimeoutMillis;
+  int mVersion = 0;
+  std::set<std::string> mServices;
   std::string mNetwork;
   Store mStore;
   std::list<Machine> mMachines;
--- a/review/standins-2/Store.h
+++ b/review/standins-2/Store.h
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <list>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -13,13 +14,13 @@
 namespace review {
 
 /** Sound stand-in of the platform's store, as its pages describe it: ranges,
- * watches, transactions and leases that end in time. */
+ * watches, transactions and leases that end in time. Each machine has an
+ * address of its own here, so that the store can turn some machines away. */
 class Store
 {
 public:
-  explicit Store(const std::string& aHost)
-    : mListener({ aHost, 0 })
-    , mAcceptor([this] { Accept(); })
+  explicit Store(std::string aHost)
+    : mHost(std::move(aHost))
   {
   }
   ~Store()
@@ -29,15 +30,50 @@
       mStopped = true;
     }
     mChanged.notify_all();
-    mAcceptor.join();
-    for (std::thread& it : mThreads) {
-      it.join();
+    for (Door& it : mDoors) {
+      it.mAcceptor.join();
+      for (std::thread& thread : it.mThreads) {
+        thread.join();
+      }
     }
   }
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
-  [[nodiscard]] std::string At() const { return mListener.At().Text(); }
+  /** @return the address of the store for one more machine. */
+  std::string Open(const std::string& aMachine)
+  {
+    const std::lock_guard lock(mMutex);
+    Door& door = mDoors.emplace_back(aMachine, mHost);
+    door.mAcceptor = std::thread([this, &door] { Accept(door); });
+    return door.mListener.At().Text();
+  }
+  /** Turns machines away with 503: those that watch the key of the operator,
+   * and those that read it next. */
+  void TurnAway(size_t aMost)
+  {
+    const std::lock_guard lock(mMutex);
+    mMostTurnedAway = aMost;
+    for (Door& it : mDoors) {
+      if (it.mWatches > 0) {
+        MayTurnAway(it);
+      }
+    }
+    mChanged.notify_all();
+  }
+  /** Serves all machines again. */
+  void TakeBack()
+  {
+    const std::lock_guard lock(mMutex);
+    mMostTurnedAway = 0;
+    mTurnedAway.clear();
+  }
+  /** @return the machines that were turned away, now or before. */
+  std::set<std::string> EverTurnedAway()
+  {
+    const std::lock_guard lock(mMutex);
+    return mEverTurnedAway;
+  }
   void Put(const std::string& aKey, const std::string& aValue)
   {
     const std::lock_guard lock(mMutex);
@@ -48,6 +84,8 @@
 private:
   using Json = nlohmann::json;
 
+  static constexpr std::string_view kOperatorKey = "op/config";
+
   struct Item
   {
     std::string mValue;
@@ -84,13 +122,37 @@
     return out;
   }
 
-  void Accept()
+  /** Where one machine calls. */
+  struct Door
+  {
+    Door(std::string aMachine, const std::string& aHost)
+      : mMachine(std::move(aMachine))
+      , mListener({ aHost, 0 })
+    {
+    }
+
+    std::string mMachine;
+    Listener mListener;
+    size_t mWatches = 0; ///< That wait for a change of the operator's key.
+    std::list<std::thread> mThreads;
+    std::thread mAcceptor;
+  };
+
+  void MayTurnAway(const Door& aDoor)
+  {
+    if (mTurnedAway.size() < mMostTurnedAway) {
+      mTurnedAway.insert(aDoor.mMachine);
+      mEverTurnedAway.insert(aDoor.mMachine);
+    }
+  }
+
+  void Accept(Door& aDoor)
   {
     while (!IsStopped()) {
-      if (Socket socket = mListener.Accept(); socket.IsOpen()) {
-        mThreads.emplace_back(
-          [this, held = std::make_shared<Socket>(std::move(socket))] {
-            Serve(*held);
+      if (Socket socket = aDoor.mListener.Accept(); socket.IsOpen()) {
+        aDoor.mThreads.emplace_back(
+          [this, &aDoor, held = std::make_shared<Socket>(std::move(socket))] {
+            Serve(aDoor, *held);
           });
       }
       const std::lock_guard lock(mMutex);
@@ -104,7 +166,7 @@
     return mStopped;
   }
 
-  void Serve(Socket& aSocket)
+  void Serve(Door& aDoor, Socket& aSocket)
   {
     Message request;
     while (!IsStopped()) {
@@ -115,7 +177,7 @@
       if (end == ReadEnd::TimedOut) {
         continue;
       }
-      const Reply reply = Handle(request);
+      const Reply reply = Handle(aDoor, request);
       const std::string body = reply.mBody.dump();
       aSocket.Send("HTTP/1.1 " + std::to_string(reply.mStatus) +
                    " -\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -123,20 +185,32 @@
     }
   }
 
-  Reply Handle(const Message& aRequest)
+  Reply Handle(Door& aDoor, const Message& aRequest)
   {
     const std::string target = aRequest.Word(1);
     const std::string path = target.substr(0, target.find('?'));
     std::unique_lock lock(mMutex);
     EndLeases();
+    const bool isOperators = Query(target, "prefix") == kOperatorKey;
+    if (isOperators) {
+      MayTurnAway(aDoor);
+    }
+    if (mTurnedAway.contains(aDoor.mMachine)) {
+      return { .mStatus = 503 };
+    }
     if (path == "/v1/kv-range") {
       return Range(Query(target, "prefix"), Query(target, "after"));
     }
     if (path == "/v1/kv-watch") {
-      return Watch(lock,
-                   Query(target, "prefix"),
-                   std::stoull(Query(target, "after")),
-                   milliseconds(std::stoul(Query(target, "waitMs"))));
+      aDoor.mWatches += isOperators ? 1 : 0;
+      const Reply reply =
+        Watch(lock,
+              aDoor,
+              Query(target, "prefix"),
+              std::stoull(Query(target, "after")),
+              milliseconds(std::stoul(Query(target, "waitMs"))));
+      aDoor.mWatches -= isOperators ? 1 : 0;
+      return reply;
     }
     if (path == "/v1/kv-txn") {
       return Transact(Json::parse(aRequest.mBody));
@@ -187,12 +261,16 @@
   }
 
   Reply Watch(std::unique_lock<std::mutex>& aLock,
+              const Door& aDoor,
               const std::string& aPrefix,
               uint64_t aAfter,
               milliseconds aWait)
   {
     const TimePoint end = Clock::now() + aWait;
     while (true) {
+      if (mTurnedAway.contains(aDoor.mMachine)) {
+        return { .mStatus = 503 };
+      }
       Json events = Json::array();
       for (const Json& it : mEvents) {
         if (it.at("rev").get<uint64_t>() > aAfter &&
@@ -289,9 +367,11 @@
   std::map<std::string, Item> mItems;
   std::map<uint64_t, Lease> mLeases;
   std::vector<Json> mEvents;
-  std::list<std::thread> mThreads;
-  Listener mListener;
-  std::thread mAcceptor;
+  std::string mHost;
+  size_t mMostTurnedAway = 0;
+  std::set<std::string> mTurnedAway;
+  std::set<std::string> mEverTurnedAway;
+  std::list<Door> mDoors;
 };
 
 } // namespace review
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -45,6 +45,18 @@
   return out;
 }
 
+/** @return a machine, alone in its zone, that hosts a service to which no route
+ * leads, and two that host "back".
+ * @param aMemoryMb of those two. */
+std::vector<Fleet::MachineOptions>
+FrontAndBacks(size_t aMemoryMb)
+{
+  const Fleet::MachineOptions back{ .mService = "back",
+                                    .mZone = "zone-2",
+                                    .mMemoryMb = aMemoryMb };
+  return { { .mService = "front", .mZone = "zone-1" }, back, back };
+}
+
 /** Counts of requests that ordinary clients sent. */
 class Tally
 {
@@ -154,8 +166,12 @@
 int
 ShortRequests(const Setting& aSetting)
 {
-  Fleet fleet(
-    aSetting.mRoot, aSetting.mFolder, aSetting.mRecord, {}, { {}, {} }, 5000);
+  Fleet fleet(aSetting.mRoot,
+              aSetting.mFolder,
+              aSetting.mRecord,
+              FrontAndBacks(160),
+              "back",
+              5000);
   if (!fleet.Settle()) {
     return kNotRun;
   }
@@ -189,8 +205,12 @@
 int
 ShortHeaderLines(const Setting& aSetting)
 {
-  Fleet fleet(
-    aSetting.mRoot, aSetting.mFolder, aSetting.mRecord, {}, { {}, {} }, 5000);
+  Fleet fleet(aSetting.mRoot,
+              aSetting.mFolder,
+              aSetting.mRecord,
+              FrontAndBacks(160),
+              "back",
+              5000);
   if (!fleet.Settle()) {
     return kNotRun;
   }
@@ -224,102 +244,18 @@
   return JudgeLost(fleet, aSetting.mRecord, tally);
 }
 
-/** Some clients send requests with many connection options and trailers. */
-int
-ConnectionOptions(const Setting& aSetting)
-{
-  constexpr int kTimeoutMillis = 1500;
-  constexpr int kHalfSecond = 500;
-  Fleet fleet(aSetting.mRoot,
-              aSetting.mFolder,
-              aSetting.mRecord,
-              {},
-              { {}, {} },
-              kTimeoutMillis);
-  if (!fleet.Settle()) {
-    return kNotRun;
-  }
-  Tally tally;
-  std::atomic<bool> isOver = false;
-  Crowd callers(20, [&](size_t aNumber) {
-    Pause(int(aNumber) * 10);
-    Socket socket = Socket::Connect(fleet.Front().Callers());
-    while (!isOver) {
-      const Ended ended = fleet.Ask(socket, "GET", "/read/20", "", 3000);
-      tally.Add(ended);
-      if (ended.mOutcome != Outcome::Success) {
-        socket = Socket::Connect(fleet.Front().Callers());
-      }
-      Pause(200);
-    }
-  });
-  std::atomic<int> asked = 0;
-  std::atomic<int> ready = 0;
-  Crowd platform(1, [&](size_t) {
-    while (!isOver) {
-      ++asked;
-      ready += fleet.Front().IsReady() ? 1 : 0;
-      Pause(1000);
-    }
-  });
-  Pause(2000);
-  const std::string options = "Connection: " + Repeat("b,", 7800) + "b\r\n";
-  const std::string plain = "Connection: " + std::string(15'600, 'b') + "\r\n";
-  const std::string trailers = Repeat("a:\r\n", 3900);
-  const std::string trailer = "a: " + std::string(15'595, 'x') + "\r\n";
-  constexpr size_t kClients = 40;
-  constexpr size_t kRequests = 6;
-  std::list<Socket> clients;
-  for (size_t n = 0; n < kClients; ++n) {
-    std::string requests;
-    for (size_t k = 0; k < kRequests; ++k) {
-      requests += Fleet::Head("GET", "/read/20", fleet.NewId(), 5000) +
-                  "Transfer-Encoding: chunked\r\n" +
-                  (aSetting.mHasTrouble ? options : plain) +
-                  "\r\n1\r\nx\r\n0\r\n" +
-                  (aSetting.mHasTrouble ? trailers : trailer) + "\r\n";
-    }
-    clients.push_back(Socket::Connect(fleet.Front().Callers()));
-    clients.back().Send(requests, milliseconds(100));
-    Pause(40);
-  }
-  aSetting.mRecord.Tell("hostile clients: " + std::to_string(kClients) +
-                        ", each with " + std::to_string(kRequests) +
-                        " requests of about 31 KB");
-  Pause(12'000);
-  isOver = true;
-  callers.Join();
-  platform.Join();
-  size_t late = 0;
-  size_t over = 0;
-  for (const Ended& it : tally.All()) {
-    late += it.mTime.count() > kTimeoutMillis ? 1 : 0;
-    over += it.mTime.count() > kTimeoutMillis + kHalfSecond ? 1 : 0;
-  }
-  aSetting.mRecord.Tell("ordinary requests: " + tally.Text());
-  aSetting.mRecord.Tell(
-    "unanswered at the timeout of the route: " + std::to_string(late) +
-    ", of them without an answer half a second later: " + std::to_string(over));
-  aSetting.mRecord.Tell(
-    "asked whether it is ready: " + std::to_string(asked) +
-    " times, answered within a second: " + std::to_string(ready));
-  constexpr size_t kLeast = 10;
-  return late >= kLeast && 2 * over > late ? kBroken : kHeld;
-}
-
 /** Single clients send a large body each, in calm. */
 int
 LargeBody(const Setting& aSetting)
 {
   constexpr size_t kMegabyte = size_t(1024) * 1024;
   constexpr size_t kLargeMemoryMb = 512;
-  Fleet fleet(
-    aSetting.mRoot,
-    aSetting.mFolder,
-    aSetting.mRecord,
-    {},
-    { { .mMemoryMb = kLargeMemoryMb }, { .mMemoryMb = kLargeMemoryMb } },
-    5000);
+  Fleet fleet(aSetting.mRoot,
+              aSetting.mFolder,
+              aSetting.mRecord,
+              FrontAndBacks(kLargeMemoryMb),
+              "back",
+              5000);
   if (!fleet.Settle()) {
     return kNotRun;
   }
@@ -352,8 +288,12 @@
   constexpr size_t kClients = 8;
   constexpr int kTimeLimit = 6000;
   constexpr int kWindowBytes = 4096;
-  Fleet fleet(
-    aSetting.mRoot, aSetting.mFolder, aSetting.mRecord, {}, { {}, {} }, 5000);
+  Fleet fleet(aSetting.mRoot,
+              aSetting.mFolder,
+              aSetting.mRecord,
+              FrontAndBacks(160),
+              "back",
+              5000);
   if (!fleet.Settle()) {
     return kNotRun;
   }
@@ -389,6 +329,88 @@
   return lost > 0 ? kBroken : kHeld;
 }
 
+/** The store turns machines away that watch the configuration, while it
+ * changes. */
+int
+StoreRefusals(const Setting& aSetting)
+{
+  constexpr size_t kMachines = 15;
+  constexpr size_t kTurnedAway = 5;
+  constexpr milliseconds kTime(9000);
+  constexpr milliseconds kConfig(2500);
+  constexpr milliseconds kOuter(5000);
+  std::vector<Fleet::MachineOptions> machines;
+  for (size_t n = 0; n < kMachines; ++n) {
+    machines.push_back(
+      { .mService = n % 2 == 0 ? "before" : "after", .mZone = "zone-1" });
+  }
+  Fleet fleet(aSetting.mRoot,
+              aSetting.mFolder,
+              aSetting.mRecord,
+              machines,
+              "before",
+              1500);
+  if (!fleet.Settle()) {
+    return kNotRun;
+  }
+  const TimePoint start = Clock::now();
+  if (aSetting.mHasTrouble) {
+    aSetting.mRecord.Write("store turns machines away");
+    fleet.Platform().TurnAway(kTurnedAway);
+  }
+  Pause(200);
+  fleet.Lead("after");
+  const TimePoint acknowledged = Clock::now();
+  struct Sent
+  {
+    std::string mMachine;
+    std::string mId;
+    milliseconds mAfterAck;
+  };
+  std::mutex mutex;
+  std::vector<Sent> sent;
+  std::list<std::unique_ptr<Crowd>> clients;
+  for (Fleet::Machine& machine : fleet.Machines()) {
+    clients.push_back(std::make_unique<Crowd>(1, [&](size_t) {
+      Socket socket = Socket::Connect(machine.mNode->Callers());
+      while (Clock::now() < start + kTime + milliseconds(2000)) {
+        const auto after =
+          std::chrono::duration_cast<milliseconds>(Clock::now() - acknowledged);
+        const Ended ended = fleet.Ask(socket, "GET", "/read/5", "", 1500);
+        {
+          const std::lock_guard lock(mutex);
+          sent.push_back({ machine.mName, ended.mId, after });
+        }
+        Pause(100);
+      }
+    }));
+  }
+  std::this_thread::sleep_until(start + kTime);
+  fleet.Platform().TakeBack();
+  aSetting.mRecord.Write("store serves all machines");
+  clients.clear();
+  const auto turnedAway = fleet.Platform().EverTurnedAway();
+  size_t stale = 0;
+  milliseconds latest{};
+  for (const Sent& it : sent) {
+    if (!turnedAway.contains(it.mMachine) &&
+        fleet.RunsOf(it.mId, "before") > 0) {
+      latest = std::max(latest, it.mAfterAck);
+      stale += it.mAfterAck > kConfig + kOuter ? 1 : 0;
+    }
+  }
+  aSetting.mRecord.Tell(
+    "machines turned away: " + std::to_string(turnedAway.size()) + " of " +
+    std::to_string(kMachines));
+  aSetting.mRecord.Tell(
+    "latest request at one of the others that the service before the change "
+    "ran: sent " +
+    std::to_string(latest.count()) + " ms after the ack");
+  aSetting.mRecord.Tell("such requests sent over 7500 ms after it: " +
+                        std::to_string(stale) + " (none allowed)");
+  return stale > 0 ? kBroken : kHeld;
+}
+
 } // namespace
 
 int
@@ -397,9 +419,9 @@
   const std::map<std::string, int (*)(const Setting&)> cases{
     { "short-requests", ShortRequests },
     { "short-header-lines", ShortHeaderLines },
-    { "connection-options", ConnectionOptions },
     { "large-body", LargeBody },
     { "planned-stop", PlannedStop },
+    { "store-refusals", StoreRefusals },
   };
   const auto it = aCount == 5 ? cases.find(aWords[1]) : cases.end();
   if (it == cases.end()) {
