--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -106,23 +106,43 @@
         const auto call = self->mCallbacks.mOnData;
         call({ aBuffer->base, size_t(aCount) });
       }
+    } else if (aCount == UV_EOF) {
+      self->ReceivedEnd();
     } else if (aCount < 0) {
-      self->End(aCount == UV_EOF && !self->WasReset()
-                  ? StreamEnd::ClosedByPeer
-                  : StreamEnd::ConnectionLost);
+      self->End(StreamEnd::ConnectionLost);
+    }
+  }
+
+  void ReceivedEnd()
+  {
+    if (!ReadsEnd()) {
+      End(StreamEnd::ConnectionLost);
+    } else if (mBytesInWrite == 0) {
+      End(StreamEnd::ClosedByPeer);
+    } else {
+      // The queued write may have failed and taken the error of a reset off the
+      // socket, which then reads as ended. libuv reports that before the next
+      // flush.
+      mHasReadEnd = true;
+      ScheduleFlush();
     }
   }
 
   // After a partial read, libuv reports a hang-up as EOF without reading again,
   // which hides a reset.
-  [[nodiscard]] bool WasReset() const
+  [[nodiscard]] bool ReadsEnd() const
   {
     uv_os_fd_t fd = -1;
     char byte = 0;
-    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&mTcp), &fd) != 0) {
-      return true;
-    }
-    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&mTcp), &fd) == 0 &&
+           ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
+  void WriteFailed(int aEc)
+  {
+    // A reset gives EPIPE only behind a FIN, which has ended the data.
+    End(mHasReadEnd && aEc == UV_EPIPE ? StreamEnd::ClosedByPeer
+                                       : StreamEnd::ConnectionLost);
   }
 
   void End(StreamEnd aEnd)
@@ -179,6 +199,9 @@
 
   void Flush()
   {
+    if (mHasReadEnd) {
+      End(StreamEnd::ClosedByPeer);
+    }
     if (mClosing || !mConnected || mBytesInWrite) {
       return;
     }
@@ -273,7 +296,7 @@
         self->mBytesInWrite = 0;
         self->CountUnsent();
         if (aEc < 0) {
-          self->End(StreamEnd::ConnectionLost);
+          self->WriteFailed(aEc);
         } else if (!self->mSendBuffer.empty() || !self->mPieces.empty()) {
           self->ScheduleFlush();
         } else if (self->mCloseWhenSent) {
@@ -298,6 +321,7 @@
   bool mConnected = false;
   bool mPaused = false;
   bool mCloseWhenSent = false;
+  bool mHasReadEnd = false; ///< End of the data read while a write is pending.
   /** Much data, or some that the socket did not take, since the buffer was
    * empty. */
   bool mHasWaited = false;
--- a/libs/net/tests/TcpStreamTest.cpp
+++ b/libs/net/tests/TcpStreamTest.cpp
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <ctime>
+#include <thread>
 
 #include "net/EventLoop.h"
 #include "net/TcpStream.h"
@@ -112,6 +114,51 @@
   }
 }
 
+// Guards against the same while a write is queued: a write that fails takes the
+// error of the reset off the socket. Only the thread of a peer comes between
+// the writes of a flush.
+TEST_CASE("a reset during a long write is reported as a lost connection")
+{
+  constexpr int kTryCount = 100;
+  std::signal(SIGPIPE, SIG_IGN); // As the program does.
+  const std::string upload(6'000'000, 'x');
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof at;
+  auto* const generic = reinterpret_cast<sockaddr*>(&at);
+  REQUIRE(::bind(listener, generic, length) == 0);
+  REQUIRE(::listen(listener, 1) == 0);
+  REQUIRE(::getsockname(listener, generic, &length) == 0);
+  std::thread peer([listener] {
+    for (int n = 0; n < kTryCount; ++n) {
+      const int fd = ::accept(listener, nullptr, nullptr);
+      char byte = 0;
+      (void)!::recv(fd, &byte, 1, 0);
+      (void)!::send(fd, "part", 4, MSG_NOSIGNAL);
+      std::this_thread::sleep_for(microseconds(10 * (n % 10)));
+      ::close(fd); // Resets, since most of the upload is unread.
+    }
+  });
+  int closedCount = 0;
+  EventLoop loop;
+  for (int n = 0; n < kTryCount; ++n) {
+    std::optional<StreamEnd> end;
+    const auto client =
+      TcpStream::Connect(loop,
+                         Loopback(ntohs(at.sin_port)),
+                         {},
+                         { .mOnClosed = [&](StreamEnd aEnd) { end = aEnd; } });
+    client->Write(upload);
+    CHECK(RunUntil(loop, [&] { return end.has_value(); }));
+    closedCount += end == StreamEnd::ClosedByPeer ? 1 : 0;
+  }
+  peer.join();
+  ::close(listener);
+  CHECK(closedCount == 0);
+}
+
 // Guards against a failed connect that is never reported, for a closed port and
 // for an invalid address.
 TEST_CASE("a refused or invalid address is reported as not connected")
--- /dev/null
+++ b/libs/proxy/tests/BrokenAnswerTest.cpp
@@ -0,0 +1,193 @@
+#include <csignal>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "ProxyFleet.h"
+#include "RawUpstream.h"
+
+using namespace amaranthgap;
+
+namespace {
+
+using Connection = RawUpstream::Connection;
+
+// An upstream that failed gets no requests for a shorter time.
+constexpr Duration kBackoff = milliseconds(220);
+constexpr int kSoundRequestCount = 4;
+constexpr int kTimeLeftMs = 3000;
+constexpr size_t kUploadBytes = 6'000'000;
+
+/** @return the head of an answer without its framing and end. */
+std::string
+SignedHead(const Connection& aConnection)
+{
+  return "HTTP/1.1 200 OK\r\nTest-Id: " + aConnection.Header("Test-Id") +
+         "\r\nTest-Signature: s\r\n";
+}
+
+/** Fleet whose second node is beside a raw upstream. */
+class Setup
+{
+public:
+  explicit Setup(const std::vector<std::string>& aServices)
+    : mFleet(aServices)
+  {
+    std::signal(SIGPIPE, SIG_IGN); // As the program does.
+    mFleet.Start("1 /visit/ crews ONCE 3000 /crews/ crews MANY 3000");
+    mFleet.At(1).mUpstream->Crash(); // Its address is taken over below.
+    mUpstream = std::make_unique<RawUpstream>(
+      mFleet.At(1).mHost + ":7500",
+      [this](const Connection& aConnection) { Serve(aConnection); });
+  }
+
+  /** @return what a client of the first node gets for a request that the raw
+   * upstream answers by this script. */
+  HttpResponse Call(const std::string& aPath,
+                    const std::string& aBody,
+                    RawUpstream::Script aScript)
+  {
+    mScript = std::move(aScript);
+    const std::string id = fmt::format("call-{}", ++mCallCount);
+    const auto answer = mFleet.Call(0, "POST", aPath, id, kTimeLeftMs, aBody);
+    REQUIRE(mFleet.Until([&] { return answer->mIsDone; }));
+    return answer->mHttp;
+  }
+
+  /** Ends the backoff of the raw upstream, and keeps the share of failures
+   * below that at which entries refuse requests. */
+  void Recover()
+  {
+    mFleet.RunFor(kBackoff);
+    for (int n = 0; n < kSoundRequestCount; ++n) {
+      REQUIRE(Call("/visit/1", "", [](const Connection& aConnection) {
+                aConnection.Write(SignedHead(aConnection) +
+                                  "Connection: close\r\n"
+                                  "Content-Length: 6\r\n\r\nserved");
+              }).mBody == "served");
+    }
+  }
+
+private:
+  void Serve(const Connection& aConnection)
+  {
+    if (aConnection.IsFor(FakeUpstream::kStatusPath)) {
+      aConnection.Write("HTTP/1.1 200 OK\r\nTest-Instance: i1\r\n"
+                        "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      mScript(aConnection);
+    }
+  }
+
+  ProxyFleet mFleet;
+  int mCallCount = 0;
+  RawUpstream::Script mScript;
+  std::unique_ptr<RawUpstream> mUpstream;
+};
+
+/** How an upstream breaks off an answer to an upload. */
+struct BrokenUpload
+{
+  bool mIsResetByKernel = false; ///< Since a part of the upload is unread.
+  size_t mPartBytes = 0;
+  size_t mReadBytes = 0; ///< Of the upload, before the part is sent.
+  microseconds mPause{}; ///< Between the part and the reset.
+};
+
+std::vector<BrokenUpload>
+AllBrokenUploads()
+{
+  std::vector<BrokenUpload> out;
+  for (const bool isResetByKernel : { false, true }) {
+    for (const size_t part : { 4, 1'000, 20'000 }) {
+      for (const size_t read : { 0, 1'000'000 }) {
+        for (const int pause : { 0, 200, 1'000 }) {
+          out.push_back({ isResetByKernel, part, read, microseconds(pause) });
+        }
+      }
+    }
+  }
+  return out;
+}
+
+void
+BreakOff(const Connection& aConnection, const BrokenUpload& aCase)
+{
+  aConnection.Read(aCase.mReadBytes);
+  aConnection.Write(SignedHead(aConnection) + "\r\n" +
+                    std::string(aCase.mPartBytes, 'p'));
+  std::this_thread::sleep_for(aCase.mPause);
+  if (!aCase.mIsResetByKernel) {
+    aConnection.ResetAtEnd();
+  }
+}
+
+} // namespace
+
+// Guards against a part of an answer without a length that is taken for the
+// whole: a write of the upload that fails takes the error of the reset off the
+// socket, which then reads as ended. The moment is narrow, so that all orders
+// of part, reset and upload are tried.
+TEST_CASE("a reset during an upload never makes an answer complete")
+{
+  Setup setup({ "logs", "crews" });
+  const std::string upload(kUploadBytes, 'x');
+  for (const BrokenUpload& it : AllBrokenUploads()) {
+    INFO("by the kernel: " << it.mIsResetByKernel << ", part of "
+                           << it.mPartBytes << " after " << it.mReadBytes
+                           << " bytes, pause of " << it.mPause.count()
+                           << " us");
+    const HttpResponse answer =
+      setup.Call("/visit/1", upload, [&](const Connection& aConnection) {
+        BreakOff(aConnection, it);
+      });
+    CHECK(answer.mStatus == 502);
+    CHECK(answer.mBody.empty());
+    setup.Recover();
+  }
+}
+
+// Guards against the same on a route whose requests may be repeated, which they
+// are as long as the budget for repetitions lasts.
+TEST_CASE("a request whose answer was reset may be repeated elsewhere")
+{
+  Setup setup({ "logs", "crews", "crews" });
+  const std::string upload(kUploadBytes, 'x');
+  int repeatedCount = 0;
+  for (const BrokenUpload& it : AllBrokenUploads()) {
+    bool isReset = false;
+    const HttpResponse answer =
+      setup.Call("/crews/1", upload, [&](const Connection& aConnection) {
+        isReset = true;
+        BreakOff(aConnection, it);
+      });
+    const bool isServed = answer.mStatus == 200;
+    CHECK((isServed || answer.mStatus == 502));
+    CHECK(answer.mBody == (isServed ? "served" : ""));
+    repeatedCount += isReset && isServed ? 1 : 0;
+  }
+  CHECK(repeatedCount > 0);
+}
+
+// Guards against refusing an answer without a length that is whole: the
+// upstream has sent a FIN, whatever becomes of the upload.
+TEST_CASE("an answer that ends before its upload is served whole")
+{
+  Setup setup({ "logs", "crews" });
+  const std::string upload(kUploadBytes, 'x');
+  const std::string body(20'000, 'b');
+  for (const size_t read : { 0, 1'000'000, 5'000'000 }) {
+    for (const size_t readAfterwards : { size_t(0), kUploadBytes - read }) {
+      INFO("read " << read << " bytes and then " << readAfterwards);
+      const HttpResponse answer =
+        setup.Call("/visit/1", upload, [&](const Connection& aConnection) {
+          aConnection.Read(read);
+          aConnection.Write(SignedHead(aConnection) + "\r\n" + body);
+          aConnection.ShutDownWriting();
+          aConnection.Read(readAfterwards);
+        });
+      CHECK(answer.mStatus == 200);
+      CHECK(answer.mBody == body);
+    }
+  }
+}
