--- a/libs/http/src/HttpReader.cpp
+++ b/libs/http/src/HttpReader.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "wire/HttpSyntax.h"
+
 namespace amaranthgap {
 
 namespace {
@@ -172,6 +174,12 @@
     }
     mHeadBytes = std::max<size_t>(mMessageBytes, 1);
     const auto& head = mParser->get();
+    if constexpr (!IsRequest) {
+      if (!IsValidStatus(int(head.result_int()))) {
+        mFault = ReadFault::Malformed;
+        return;
+      }
+    }
     if (head.count(http::field::transfer_encoding) == 0) {
       return;
     }
--- a/libs/http/tests/HttpReaderTest.cpp
+++ b/libs/http/tests/HttpReaderTest.cpp
@@ -106,6 +106,26 @@
   }
 }
 
+// Guards against a response that no client understands, and against one that is
+// taken for an interim response, behind which another is awaited.
+TEST_CASE("a response with a status outside the range of HTTP is malformed")
+{
+  for (const char* status : { "000", "001", "099", "600", "999" }) {
+    for (const char* framing : { "", "Content-Length: 2\r\n" }) {
+      INFO(status << ' ' << framing);
+      ResponseReader reader(ReadLimits{});
+      reader.Feed(std::string("HTTP/1.1 ") + status + " Status\r\n" + framing +
+                  "\r\nab");
+      CHECK_FALSE(reader.Next(false));
+      CHECK(reader.State() == ReadState::Invalid);
+      CHECK_FALSE(reader.Finish());
+    }
+  }
+  ResponseReader reader(ReadLimits{});
+  reader.Feed("HTTP/1.1 599 Status\r\nContent-Length: 0\r\n\r\n");
+  CHECK(reader.Next(false));
+}
+
 // Guards against returning a 1xx response as the final one.
 TEST_CASE("interim responses are skipped")
 {
--- a/libs/server/src/UpstreamConnection.cpp
+++ b/libs/server/src/UpstreamConnection.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "server/HttpFraming.h"
+#include "wire/HttpSyntax.h"
 
 namespace amaranthgap {
 
@@ -315,7 +316,7 @@
   }
   HttpHeaders raw;
   const auto line = stream.mHead.find("\r\n");
-  if (line == std::string::npos ||
+  if (line == std::string::npos || !IsValidStatus(response.status) ||
       !ParseHeaderLines(std::string_view(stream.mHead).substr(line + 2), raw)) {
     return UpstreamFailure::Incomplete;
   }
--- a/libs/server/tests/UpstreamClientTest.cpp
+++ b/libs/server/tests/UpstreamClientTest.cpp
@@ -210,6 +210,23 @@
   }
 }
 
+// Guards against bytes of a failing upstream that are passed on as its answer.
+TEST_CASE("answers that are not HTTP are incomplete", "[server]")
+{
+  const std::string end = "Content-Length: 2\r\n\r\nok";
+  for (const std::string& answer : { "HTTP/1.1 000 Unknown\r\n" + end,
+                                     "HTTP/1.1 099 Unknown\r\n" + end,
+                                     "HTTP/1.1 600 Unknown\r\n" + end }) {
+    INFO(answer);
+    ScriptedServer server([&](int aSocket, int) {
+      ScriptedServer::ReadHead(aSocket);
+      ScriptedServer::Write(aSocket, answer);
+    });
+    Caller caller;
+    CHECK(Failed(caller.Run(server.Address()), UpstreamFailure::Incomplete));
+  }
+}
+
 TEST_CASE("chunked and bodyless answers are complete", "[server]")
 {
   for (const std::string answer :
