--- a/libs/http/src/HttpReader.cpp
+++ b/libs/http/src/HttpReader.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpReader.h"
 
 #include <algorithm>
+#include <functional>
 #include <vector>
 
 #include <boost/beast/http/parser.hpp>
@@ -28,6 +29,8 @@
 constexpr size_t kChunkHeaderBytes = size_t(64) * 1024;
 constexpr size_t kChunkHeaderRatio = 16;
 
+constexpr size_t kLineEndBytes = 2;
+
 template<class Fields>
 HttpHeaders
 CopyHeaders(const Fields& aFields)
@@ -61,6 +64,8 @@
   {
     ResetParser();
   }
+  MessageReader(const MessageReader&) = delete;
+  MessageReader& operator=(const MessageReader&) = delete;
 
   void Feed(std::string_view aData)
   {
@@ -84,9 +89,14 @@
     while (mFault == ReadFault::None && !mParser->is_done() && left > 0 &&
            mConsumedBytes < mBuffer.size()) {
       const size_t size = std::min(left, mBuffer.size() - mConsumedBytes);
+      const char* const begin = mBuffer.data() + mConsumedBytes;
+      const bool isHead = !mParser->is_header_done();
+      mTrailers = nullptr;
       beast::error_code ec;
-      const size_t used = mParser->put(
-        boost::asio::const_buffer(mBuffer.data() + mConsumedBytes, size), ec);
+      const size_t used =
+        mParser->put(boost::asio::const_buffer(begin, size), ec);
+      CheckLines(isHead ? begin : nullptr, begin + used);
+      CheckLines(mTrailers, begin + used);
       mConsumedBytes += used;
       mMessageBytes += used;
       left -= used;
@@ -120,6 +130,9 @@
     mParser->eager(true);
     mParser->header_limit(mLimits.mHeaderBytes);
     mParser->body_limit(mLimits.mBodyBytes);
+    if constexpr (!IsRequest) {
+      mParser->on_chunk_header(mOnChunkHeader);
+    }
   }
 
   [[nodiscard]] ReadState State() const
@@ -165,6 +178,17 @@
   }
 
 private:
+  // Refuses folded lines of responses, which the parser joins: a field, such as
+  // a length, would become a part of the value before it. The parser consumes
+  // whole lines of a head, and trailers at once or not at all.
+  void CheckLines(const char* aBegin, const char* aEnd)
+  {
+    if (!IsRequest && aBegin && aBegin < aEnd &&
+        HasFoldedLine({ aBegin, size_t(aEnd - aBegin) })) {
+      Fail();
+    }
+  }
+
   // Refuses what may be framed differently by the next reader of the message,
   // who could then take a part of its body for another message (RFC 9112, 6.1).
   void CheckHead()
@@ -241,6 +265,17 @@
   bool mNeedsData = false;  ///< The buffered data has been parsed as far as
                             ///< possible.
   ReadFault mFault = ReadFault::None;
+  const char* mTrailers = nullptr; ///< In the buffer, if just parsed.
+  /** Called with the header of each chunk; trailers follow the last one, which
+   * has no size. */
+  std::function<void(uint64_t, beast::string_view, beast::error_code&)>
+    mOnChunkHeader = [this](uint64_t aSize,
+                            beast::string_view aExtensions,
+                            beast::error_code&) {
+      if (aSize == 0) {
+        mTrailers = aExtensions.data() + aExtensions.size() + kLineEndBytes;
+      }
+    };
 };
 
 } // namespace
--- a/libs/http/tests/HttpReaderTest.cpp
+++ b/libs/http/tests/HttpReaderTest.cpp
@@ -126,6 +126,43 @@
   CHECK(reader.Next(false));
 }
 
+// Guards against a line that becomes a part of the value before it, and against
+// a body whose length was in such a line.
+TEST_CASE("a response with a folded line is malformed")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nName: value\r\n";
+  const std::string chunked =
+    head + "Transfer-Encoding: chunked\r\n\r\n4\r\na\r\n \r\n0\r\n";
+  const std::vector<std::string> folded{
+    head + " Content-Length: 1\r\n\r\na",
+    head + "\tContent-Length: 1\r\n\r\na",
+    head + " \r\nContent-Length: 1\r\n\r\na",
+    head + " more\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    chunked + "Trailer: value\r\n more\r\n\r\n",
+    chunked + " Trailer: value\r\n\r\n",
+  };
+  const std::vector<std::string> sound{
+    head + "Content-Length: 7\r\n\r\n\r\n a\r\n b",
+    chunked + "\r\n",
+    chunked + "Trailer: value\r\n\r\n",
+  };
+  for (const auto* const cases : { &folded, &sound }) {
+    for (const std::string& bytes : *cases) {
+      for (const size_t piece : { size_t(1), size_t(3), bytes.size() }) {
+        INFO(bytes << " in pieces of " << piece);
+        ResponseReader reader(ReadLimits{});
+        std::optional<ReceivedResponse> read;
+        for (size_t n = 0; n < bytes.size() && !read; n += piece) {
+          reader.Feed(std::string_view(bytes).substr(n, piece));
+          read = reader.Next(false);
+        }
+        CHECK(read.has_value() == (cases == &sound));
+        CHECK((reader.State() == ReadState::Invalid) == (cases == &folded));
+      }
+    }
+  }
+}
+
 // Guards against returning a 1xx response as the final one.
 TEST_CASE("interim responses are skipped")
 {
--- a/libs/platform/src/HttpKeyValueStore.cpp
+++ b/libs/platform/src/HttpKeyValueStore.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/Base64.h"
+#include "wire/HttpSyntax.h"
 
 namespace amaranthgap {
 
@@ -164,6 +165,17 @@
   return Lost(aRequest, detail);
 }
 
+// The library takes any text up to a colon for a name, so that a length may not
+// be seen.
+bool
+HasValidHead(const httplib::Response& aResponse)
+{
+  return IsValidStatus(aResponse.status) &&
+         std::all_of(aResponse.headers.begin(),
+                     aResponse.headers.end(),
+                     [](const auto& aField) { return IsToken(aField.first); });
+}
+
 void
 SetTimeouts(httplib::Client& aClient, const StoreRequest& aRequest)
 {
@@ -205,6 +217,9 @@
     client.set_tcp_nodelay(true);
     SetTimeouts(client, aRequest);
     const httplib::Result result = Send(client, aRequest);
+    if (result && !HasValidHead(*result)) {
+      return Lost(aRequest, "malformed head");
+    }
     if (result) {
       return Interpret(aRequest, *result);
     }
--- a/libs/platform/tests/HttpKeyValueStoreTest.cpp
+++ b/libs/platform/tests/HttpKeyValueStoreTest.cpp
@@ -13,7 +13,7 @@
 std::string
 Http(int aStatus, const std::string& aBody)
 {
-  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n"
+  return fmt::format("HTTP/1.1 {:03} X\r\nContent-Length: {}\r\n"
                      "Connection: close\r\n\r\n{}",
                      aStatus,
                      aBody.size(),
@@ -74,6 +74,22 @@
       cut.substr(0, cut.size() - 5),
       NotDone,
       Unclear },
+    { "status 000",
+      Http(0, R"({"revision":4,"value":"dg=="})"),
+      NotDone,
+      Unclear },
+    { "blank in a name",
+      "HTTP/1.1 200 OK\r\nBad Name: v\r\n" + cut.substr(cut.find("\r\n") + 2),
+      NotDone,
+      Unclear },
+    { "control byte in a name",
+      "HTTP/1.1 200 OK\r\nN\x01: v\r\n" + cut.substr(cut.find("\r\n") + 2),
+      NotDone,
+      Unclear },
+    { "length in a folded line",
+      "HTTP/1.1 200 OK\r\nName: v\r\n " + cut.substr(cut.find("\r\n") + 2),
+      NotDone,
+      Unclear },
     { "not HTTP", "hello\r\n\r\n", NotDone, Unclear },
     { "no answer in time", "", NotDone, Unclear, true },
   };
--- a/libs/proxy/tests/BrokenAnswerTest.cpp
+++ b/libs/proxy/tests/BrokenAnswerTest.cpp
@@ -215,3 +215,49 @@
     }
   }
 }
+
+// Guards against a head that readers take differently: a line that is passed on
+// under a name that is none, or whose length is not seen, so that another body
+// is served.
+TEST_CASE("an answer with a field whose name is no token gives a 502")
+{
+  const std::vector<std::string> lines{
+    "Bad Name: v",
+    "Name : v",
+    "Name\t: v",
+    " Name: v",
+    "\tName: v",
+    " ",
+    ": v",
+    "Name",
+    "Na\x01me: v",
+    "Na\x7fme: v",
+    "Na\xffme: v",
+    "Na(me): v",
+    std::string("Na\0me: v", 9),
+    "Name: v\r\n Content-Length: 3",
+    "Name: v\r\n\tfolded",
+    "Content-Length : 3",
+    " Content-Length: 3",
+    "Content Length: 3",
+  };
+  Setup setup({ "logs", "crews" });
+  for (const std::string& line : lines) {
+    for (const char* framing :
+         { "", "Content-Length: 6\r\n", "Transfer-Encoding: chunked\r\n" }) {
+      const bool isChunked = *framing == 'T';
+      INFO(line << " / " << framing);
+      const HttpResponse answer =
+        setup.Call("/visit/1", "", [&](const Connection& aConnection) {
+          aConnection.Write(
+            SignedHead(aConnection) +
+            (isChunked ? framing + ("\r\n6\r\nbroken\r\n0\r\nTrailer: v\r\n" +
+                                    line + "\r\n\r\n")
+                       : line + "\r\n" + framing + "\r\nbroken"));
+        });
+      CHECK(answer.mStatus == 502);
+      CHECK(answer.mBody.empty());
+      setup.Recover();
+    }
+  }
+}
--- a/libs/server/src/HttpFraming.cpp
+++ b/libs/server/src/HttpFraming.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "wire/HttpSyntax.h"
+
 namespace amaranthgap {
 
 namespace {
@@ -16,21 +18,6 @@
 // A chunk line holds a length and, rarely, an extension.
 constexpr size_t kMaxChunkLine = 256;
 
-bool
-IsTokenChar(char aChar)
-{
-  const auto c = static_cast<unsigned char>(aChar);
-  return std::isalnum(c) != 0 ||
-         std::string_view("!#$%&'*+-.^_`|~").find(aChar) !=
-           std::string_view::npos;
-}
-
-bool
-IsToken(std::string_view aText)
-{
-  return !aText.empty() && std::all_of(aText.begin(), aText.end(), IsTokenChar);
-}
-
 bool
 IsValueChar(char aChar)
 {
--- a/libs/server/tests/UpstreamClientTest.cpp
+++ b/libs/server/tests/UpstreamClientTest.cpp
@@ -214,9 +214,13 @@
 TEST_CASE("answers that are not HTTP are incomplete", "[server]")
 {
   const std::string end = "Content-Length: 2\r\n\r\nok";
-  for (const std::string& answer : { "HTTP/1.1 000 Unknown\r\n" + end,
-                                     "HTTP/1.1 099 Unknown\r\n" + end,
-                                     "HTTP/1.1 600 Unknown\r\n" + end }) {
+  for (const std::string& answer :
+       { "HTTP/1.1 000 Unknown\r\n" + end,
+         "HTTP/1.1 099 Unknown\r\n" + end,
+         "HTTP/1.1 600 Unknown\r\n" + end,
+         "HTTP/1.1 200 OK\r\nBad Name: v\r\n" + end,
+         "HTTP/1.1 200 OK\r\nName: v\r\n v\r\n" + end,
+         "HTTP/1.1 200 OK\r\nN\x01: v\r\n" + end }) {
     INFO(answer);
     ScriptedServer server([&](int aSocket, int) {
       ScriptedServer::ReadHead(aSocket);
