--- a/libs/proxy/tests/BrokenAnswerTest.cpp
+++ b/libs/proxy/tests/BrokenAnswerTest.cpp
@@ -5,6 +5,7 @@
 
 #include "ProxyFleet.h"
 #include "RawUpstream.h"
+#include "proxy/StatusCheck.h"
 
 using namespace amaranthgap;
 
@@ -261,3 +262,51 @@
     }
   }
 }
+
+// Guards against a status that the upstream did not tell.
+TEST_CASE("a broken answer to a status check tells no status")
+{
+  struct Case
+  {
+    const char* mName;
+    std::string mBytes;
+    bool mIsReset = false;
+    bool mIsReady = false;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nTest-Instance: i1\r\n";
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  const std::vector<Case> cases{
+    { "whole", head + end, false, true },
+    { "whole without a length", head + "\r\nready", false, true },
+    { "reset without a length", head + "\r\nready", true },
+    { "status 000", "HTTP/1.1 000 OK\r\n" + end },
+    { "status 000 without a length", "HTTP/1.1 000 OK\r\n\r\n" },
+    { "blank in a name", head + "Bad Name: v\r\n" + end },
+    { "control byte in a name", head + "N\x01: v\r\n" + end },
+    { "folded line", head + " more\r\n" + end },
+  };
+  EventLoop loop;
+  const std::string address = "127.77.1.1:7500";
+  for (const Case& it : cases) {
+    INFO(it.mName);
+    const RawUpstream upstream(address, [&](const Connection& aConnection) {
+      aConnection.Write(it.mBytes);
+      if (it.mIsReset) {
+        aConnection.ResetAtEnd();
+      }
+    });
+    StatusCheck check(
+      loop,
+      { .mAddress = address,
+        .mHeaders = { .mInstance = "Test-Instance", .mNotExecuted = "Not-Run" },
+        .mReadNotice = [](const HttpHeaders&) { return AnswerNotice{}; } });
+    std::optional<UpstreamStatus> status;
+    check.Start("/status",
+                [&](const UpstreamStatus& aStatus) { status = aStatus; });
+    while (!status) {
+      loop.RunFor(milliseconds(5));
+    }
+    CHECK((status->mVerdict == StatusVerdict::Ready) == it.mIsReady);
+    CHECK(status->mInstance == (it.mIsReady ? "i1" : ""));
+  }
+}
--- a/libs/proxy/tests/PeerLinksTest.cpp
+++ b/libs/proxy/tests/PeerLinksTest.cpp
@@ -16,8 +16,11 @@
 class FakePeer
 {
 public:
+  static constexpr size_t kBodyBytes = 1000;
+
   explicit FakePeer(EventLoop& aLoop)
-    : mListener(aLoop)
+    : mLoop(aLoop)
+    , mListener(aLoop)
   {
     const auto listening = mListener.Listen(
       "127.0.0.1:0", {}, [this](std::unique_ptr<TcpStream> aStream) {
@@ -42,6 +45,21 @@
     reply.mReason = AttemptReason::NoRoom;
     mConnections[aConnection]->mStream->Write(EncodeFrame(reply));
   }
+  /** Sends the first aBytes of an answer and ends the connection. */
+  void ReplyInPart(uint64_t aCall, size_t aBytes, bool aIsReset)
+  {
+    ForwardReply reply;
+    reply.mCall = aCall;
+    reply.mOutcome = AttemptOutcome::Answered;
+    reply.mHttp = { .mStatus = 200, .mBody = std::string(kBodyBytes, 'b') };
+    TcpStream& stream = *mConnections.back()->mStream;
+    stream.Write(EncodeFrame(reply).substr(0, aBytes));
+    if (aIsReset) {
+      mLoop.Defer([&stream] { stream.Reset(); });
+    } else {
+      stream.Close();
+    }
+  }
   void CloseAll()
   {
     for (const auto& it : mConnections) {
@@ -92,6 +110,7 @@
     }
   }
 
+  EventLoop& mLoop;
   TcpListener mListener;
   bool mIsSilent = false;
   std::vector<std::unique_ptr<Connection>> mConnections;
@@ -209,6 +228,23 @@
   CHECK(once->mOutcome == AttemptOutcome::MayHaveRun);
 }
 
+// Guards against a part of a reply that is taken for the whole.
+TEST_CASE("a reply that is cut off ends its attempt without an answer")
+{
+  for (const bool isReset : { false, true }) {
+    for (const size_t size : { size_t(2), size_t(40), FakePeer::kBodyBytes }) {
+      INFO(size << " bytes, reset: " << isReset);
+      LinkedNode node;
+      std::optional<ForwardReply> reply;
+      const uint64_t call = node.Send(false, reply);
+      node.Peer().ReplyInPart(call, size, isReset);
+      REQUIRE(node.Until([&] { return reply.has_value(); }));
+      CHECK(reply->mOutcome == AttemptOutcome::MayHaveRun);
+      CHECK(reply->mHttp.mBody.empty());
+    }
+  }
+}
+
 // Guards against answers to requests that were given up at their deadline.
 TEST_CASE("a cancelled attempt on a silent connection gets no answer")
 {
