--- a/libs/proxy/tests/BrokenAnswerTest.cpp
+++ b/libs/proxy/tests/BrokenAnswerTest.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <mutex>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -49,7 +50,10 @@
                     const std::string& aBody,
                     RawUpstream::Script aScript)
   {
-    mScript = std::move(aScript);
+    {
+      const std::scoped_lock lock(mMutex);
+      mScript = std::move(aScript);
+    }
     const std::string id = fmt::format("call-{}", ++mCallCount);
     const auto answer = mFleet.Call(0, "POST", aPath, id, kTimeLeftMs, aBody);
     mFleet.Until([&] { return answer->mIsDone; });
@@ -76,14 +80,21 @@
     if (aConnection.IsFor(FakeUpstream::kStatusPath)) {
       aConnection.Write("HTTP/1.1 200 OK\r\nTest-Instance: i1\r\n"
                         "Connection: close\r\nContent-Length: 0\r\n\r\n");
-    } else {
-      mScript(aConnection);
+      return;
+    }
+    // A copy, as a script may go on after its client has the answer.
+    RawUpstream::Script script;
+    {
+      const std::scoped_lock lock(mMutex);
+      script = mScript;
     }
+    script(aConnection);
   }
 
   ProxyFleet mFleet;
   int mCallCount = 0;
-  RawUpstream::Script mScript;
+  std::mutex mMutex;
+  RawUpstream::Script mScript; ///< Under mMutex.
   std::unique_ptr<RawUpstream> mUpstream;
 };
 
@@ -182,7 +193,7 @@
     for (const size_t readAfterwards : { size_t(0), kUploadBytes - read }) {
       INFO("read " << read << " bytes and then " << readAfterwards);
       const HttpResponse answer =
-        setup.Call("/visit/1", upload, [&](const Connection& aConnection) {
+        setup.Call("/visit/1", upload, [=](const Connection& aConnection) {
           aConnection.Read(read);
           aConnection.Write(SignedHead(aConnection) + "\r\n" + body);
           aConnection.ShutDownWriting();
@@ -203,7 +214,7 @@
     for (const char* framing : { "", "Content-Length: 6\r\n" }) {
       INFO(status << ' ' << framing);
       const HttpResponse answer =
-        setup.Call("/visit/1", "", [&](const Connection& aConnection) {
+        setup.Call("/visit/1", "", [=](const Connection& aConnection) {
           aConnection.Write(SignedHead(aConnection, status) + framing +
                             "\r\nbroken");
           if (*framing != '\0') {
