--- a/libs/proxy/tests/BrokenAnswerTest.cpp
+++ b/libs/proxy/tests/BrokenAnswerTest.cpp
@@ -246,7 +246,7 @@
     "Na\x7fme: v",
     "Na\xffme: v",
     "Na(me): v",
-    std::string("Na\0me: v", 9),
+    std::string("Na\0me: v", 8),
     "Name: v\r\n Content-Length: 3",
     "Name: v\r\n\tfolded",
     "Content-Length : 3",
