--- a/libs/proxy/tests/BrokenAnswerTest.cpp
+++ b/libs/proxy/tests/BrokenAnswerTest.cpp
@@ -161,7 +161,7 @@
 }
 
 // Guards against the same on a route whose requests may be repeated, which they
-// are as long as the budget for repetitions lasts.
+// are as long as the retry budget lasts.
 TEST_CASE("a request whose answer was reset may be repeated elsewhere")
 {
   Setup setup({ "logs", "crews", "crews" });
