--- a/libs/net/include/net/TcpStream.h
+++ b/libs/net/include/net/TcpStream.h
@@ -19,6 +19,7 @@
   NotConnected,   ///< Never established; nothing was sent.
   ClosedByPeer,   ///< The peer sent a FIN.
   ConnectionLost, ///< Reset or failed, e.g. after the user timeout.
+  Finished,       ///< Finish() is over; the peer acknowledged all data.
 };
 
 /** Callbacks of a TcpStream. */
@@ -66,7 +67,13 @@
 
   void SetCallbacks(StreamCallbacks aCallbacks);
   void Write(std::string aData);
-  /** Closes after sending the buffered data. No callbacks follow. */
+  /** Sends the buffered data, then a FIN, and discards what the peer still
+   * sends until it closes or LingeringClose gives it up: it loses nothing by
+   * sending late. Only mOnClosed follows, in a later turn of the loop.
+   * @param aLastMoved when data was last sent or received. */
+  void Finish(TimePoint aLastMoved);
+  /** Closes after sending the buffered data. What the peer still sends is
+   * answered with a reset, by which it may lose data. No callbacks follow. */
   void Close();
   /** Sends a TCP reset and discards buffered data. No callbacks follow. */
   void Reset();
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -3,15 +3,19 @@
 #include <array>
 #include <cmath>
 #include <deque>
+#include <optional>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <uv.h>
 
 #include "base/Address.h"
 #include "net/EventLoop.h"
+#include "net/LingeringClose.h"
 
 namespace amaranthgap {
 
@@ -26,6 +30,8 @@
 // Listen backlog, in connections. The kernel drops connection attempts beyond
 // it, which TCP retransmits only after a second.
 constexpr int kBacklog = 1024;
+// Pause between looks at what the peer of a finished stream has acknowledged.
+constexpr Duration kLingerPause = milliseconds(100);
 
 bool
 ReadAddress(const std::string& aAddress, sockaddr_in& aParsed)
@@ -67,6 +73,7 @@
 
   void Configure(const Options& aOptions)
   {
+    mUserTimeout = aOptions.mUserTimeout;
     mUnsentShare = MemoryAccount::Share(aOptions.mAccount, aOptions.mUse);
     uv_tcp_nodelay(&mTcp, 1);
     if (aOptions.mKeepAlive > Duration::zero()) {
@@ -101,7 +108,9 @@
   {
     auto* self = static_cast<Parts*>(aStream->data);
     if (aCount > 0) {
-      if (self->mCallbacks.mOnData) {
+      if (self->mLinger) {
+        self->mLinger->Received(EventLoop::Now());
+      } else if (self->mCallbacks.mOnData) {
         // The callback may replace the events or close the stream.
         const auto call = self->mCallbacks.mOnData;
         call({ aBuffer->base, size_t(aCount) });
@@ -117,6 +126,8 @@
   {
     if (!ReadsEnd()) {
       End(StreamEnd::ConnectionLost);
+    } else if (mLinger && UnsentBytes() > 0) {
+      mHasReadEnd = true; // The peer may still read.
     } else if (mBytesInWrite == 0) {
       End(StreamEnd::ClosedByPeer);
     } else {
@@ -169,6 +180,7 @@
       if (mConnectTimer) {
         mConnectTimer->Stop();
       }
+      mLingerTimer.reset();
       uv_close(AsHandle(), [](uv_handle_t* aHandle) {
         auto* self = static_cast<Parts*>(aHandle->data);
         self->mClosed = true;
@@ -199,7 +211,7 @@
 
   void Flush()
   {
-    if (mHasReadEnd) {
+    if (mHasReadEnd && !mLinger) {
       End(StreamEnd::ClosedByPeer);
     }
     if (mClosing || !mConnected || mBytesInWrite) {
@@ -224,11 +236,84 @@
       }
       TakePiece();
     }
-    if (mBytesInWrite == 0 && mCloseWhenSent) {
+    CountUnsent();
+    if (mBytesInWrite == 0) {
+      AllDataSent();
+    }
+  }
+
+  void AllDataSent()
+  {
+    if (mCloseWhenSent) {
       CloseHandle();
+    } else if (!mLinger) {
+      TellDrained();
+    } else if (mHasReadEnd) {
+      End(StreamEnd::ClosedByPeer);
+    } else if (!std::exchange(mHasShutDown, true)) {
+      uv_shutdown(&mShutdown, Stream(), [](uv_shutdown_t*, int) {});
     }
-    CountUnsent();
-    TellDrained();
+  }
+
+  void Finish(TimePoint aLastMoved)
+  {
+    mCallbacks.mOnData = {};
+    mCallbacks.mOnDrained = {};
+    mLinger.emplace(EventLoop::Now(),
+                    aLastMoved,
+                    UnacknowledgedBytes(),
+                    LingeringClose::Options{ .mStallTime = mUserTimeout });
+    if (std::exchange(mPaused, false)) {
+      StartReading();
+    }
+    mLingerTimer = std::make_unique<Timer>(mLoop);
+    mLingerTimer->Start(
+      Duration::zero(), kLingerPause, [this] { CheckLinger(); });
+    ScheduleFlush();
+  }
+
+  void CheckLinger()
+  {
+    const size_t missing = UnacknowledgedBytes();
+    if (!mLinger->IsOver(EventLoop::Now(), missing)) {
+      return;
+    }
+    if (missing > 0) {
+      AbortOnClose();
+    }
+    End(missing > 0 ? StreamEnd::ConnectionLost : StreamEnd::Finished);
+  }
+
+  /** Lets the close of the socket discard what is unacknowledged, and send a
+   * reset. */
+  void AbortOnClose()
+  {
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(AsHandle(), &fd) == 0) {
+      const linger abort{ .l_onoff = 1, .l_linger = 0 };
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+    }
+  }
+
+  [[nodiscard]] size_t UnsentBytes() const
+  {
+    return mSendBuffer.size() + mPieceBytes + mBytesInWrite;
+  }
+
+  /** @return the bytes that the peer has not acknowledged, without the FIN. */
+  [[nodiscard]] size_t UnacknowledgedBytes() const
+  {
+    const auto* stream = reinterpret_cast<const uv_stream_t*>(&mTcp);
+    const size_t unsent =
+      mSendBuffer.size() + mPieceBytes + uv_stream_get_write_queue_size(stream);
+    uv_os_fd_t fd = -1;
+    int queued = 0;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&mTcp), &fd) != 0 ||
+        ioctl(fd, SIOCOUTQ, &queued) != 0) {
+      return unsent;
+    }
+    const bool hasFin = mHasShutDown && queued > 0;
+    return unsent + size_t(queued) - (hasFin ? 1 : 0);
   }
 
   void Append(std::string aData)
@@ -299,10 +384,8 @@
           self->WriteFailed(aEc);
         } else if (!self->mSendBuffer.empty() || !self->mPieces.empty()) {
           self->ScheduleFlush();
-        } else if (self->mCloseWhenSent) {
-          self->CloseHandle();
         } else {
-          self->TellDrained();
+          self->AllDataSent();
         }
       });
   }
@@ -310,6 +393,7 @@
   EventLoop& mLoop;
   uv_tcp_t mTcp{};
   uv_connect_t mConnect{};
+  uv_shutdown_t mShutdown{};
   std::unique_ptr<Timer> mConnectTimer;
   StreamCallbacks mCallbacks;
   std::string mPeer;
@@ -318,10 +402,14 @@
   size_t mPieceBytes = 0;          ///< In all of them.
   size_t mBytesInWrite = 0;        ///< Bytes in the pending uv_write().
   MemoryAccount::Share mUnsentShare;
+  Duration mUserTimeout{};
+  std::optional<LingeringClose> mLinger; ///< Set by Finish().
+  std::unique_ptr<Timer> mLingerTimer;
   bool mConnected = false;
   bool mPaused = false;
   bool mCloseWhenSent = false;
-  bool mHasReadEnd = false; ///< End of the data read while a write is pending.
+  bool mHasReadEnd = false;  ///< End of the data read while a write is pending.
+  bool mHasShutDown = false; ///< A FIN follows the data that was sent.
   /** Much data, or some that the socket did not take, since the buffer was
    * empty. */
   bool mHasWaited = false;
@@ -399,7 +487,7 @@
 void
 TcpStream::Write(std::string aData)
 {
-  if (!mParts->mClosing && !mParts->mCloseWhenSent) {
+  if (IsOpen()) {
     mParts->Append(std::move(aData));
     mParts->mHasWaited |= mParts->mSendBuffer.size() > kReadBufferBytes;
     mParts->CountUnsent();
@@ -407,6 +495,14 @@
   }
 }
 
+void
+TcpStream::Finish(TimePoint aLastMoved)
+{
+  if (IsOpen()) {
+    mParts->Finish(aLastMoved);
+  }
+}
+
 void
 TcpStream::Close()
 {
@@ -424,10 +520,8 @@
 void
 TcpStream::Reset()
 {
-  uv_os_fd_t fd = -1;
-  if (!mParts->mClosing && uv_fileno(mParts->AsHandle(), &fd) == 0) {
-    const linger abort{ .l_onoff = 1, .l_linger = 0 };
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+  if (!mParts->mClosing) {
+    mParts->AbortOnClose();
   }
   mParts->CloseHandle();
 }
@@ -452,14 +546,13 @@
 size_t
 TcpStream::UnsentBytes() const
 {
-  return mParts->mSendBuffer.size() + mParts->mPieceBytes +
-         mParts->mBytesInWrite;
+  return mParts->UnsentBytes();
 }
 
 bool
 TcpStream::IsOpen() const
 {
-  return !mParts->mClosing && !mParts->mCloseWhenSent;
+  return !mParts->mClosing && !mParts->mCloseWhenSent && !mParts->mLinger;
 }
 
 bool
--- a/libs/proxy/include/proxy/CallerSide.h
+++ b/libs/proxy/include/proxy/CallerSide.h
@@ -73,8 +73,10 @@
   /** Closes idle connections, and all others after the answers to the requests
    * that were handed over. */
   void StartDraining();
-  /** Accepts no more connections. */
-  void StopListening();
+  /** Accepts no more connections, and closes all after the answers to the
+   * requests that were handed over. What is still being received is refused.
+   * A connection counts until its caller has closed it or is given up. */
+  void Finish();
   /** Closes connections that are idle or too slow to send a request, and sheds
    * others if the process holds too much. */
   void CloseOverdue(TimePoint aNow);
--- a/libs/proxy/src/CallerSide.cpp
+++ b/libs/proxy/src/CallerSide.cpp
@@ -61,6 +61,15 @@
   }
 }
 
+/** What a connection is used for, in the order in which connections are given
+ * up for descriptors. */
+enum class ConnectionUse : uint8_t
+{
+  Busy,    ///< Requests or unsent answers.
+  Idle,    ///< Kept for further requests.
+  Closing, ///< Everything was sent; waits for the caller to close.
+};
+
 } // namespace
 
 class CallerSide::Connection : public std::enable_shared_from_this<Connection>
@@ -104,9 +113,9 @@
         self->ReadRequests();
       }
     };
-    events.mOnClosed = [weak](StreamEnd) {
+    events.mOnClosed = [weak](StreamEnd aEnd) {
       if (const auto self = weak.lock()) {
-        self->Ended();
+        self->Ended(aEnd);
       }
     };
     mStream->SetCallbacks(std::move(events));
@@ -127,28 +136,40 @@
 
   void StartDraining()
   {
-    if (mSlots.empty() && mReader.State() == ReadState::Idle) {
-      Close();
+    if (!mClosing && mSlots.empty() && mReader.State() == ReadState::Idle) {
+      Finish();
     }
   }
 
-  // Returns whether the connection is over.
-  bool CloseOverdue(TimePoint aNow)
+  /** Reads no further request: closes after the answers to those that were
+   * handed over, and refuses one that is still being received. */
+  void StopReading()
+  {
+    mLastSeen = true;
+    if (mClosing || !mSlots.empty()) {
+      return;
+    }
+    if (mReader.State() == ReadState::Idle) {
+      Finish();
+    } else {
+      Refuse(kUnavailable);
+    }
+  }
+
+  void CloseOverdue(TimePoint aNow)
   {
     const Duration quiet = aNow - mLastActive;
-    if (!mSlots.empty() || mIsToParse || mStream->UnsentBytes() > 0) {
-      return false; // It does not wait for the caller to send.
+    if (mClosing || !mSlots.empty() || mIsToParse ||
+        mStream->UnsentBytes() > 0) {
+      return; // It does not wait for the caller to send.
     }
     if (mReader.State() == ReadState::Partial &&
         quiet > mLimits.mHeaderTimeout) {
       Refuse(kRequestTimeout);
-      return true;
-    }
-    if (mReader.State() == ReadState::Idle && quiet > mLimits.mIdleTimeout) {
-      Close();
-      return true;
+    } else if (mReader.State() == ReadState::Idle &&
+               quiet > mLimits.mIdleTimeout) {
+      Finish();
     }
-    return false;
   }
 
   /** Parses what has been received; hands over complete requests. */
@@ -218,10 +239,16 @@
   {
     return aNow - mLastMoved;
   }
-  [[nodiscard]] bool IsIdle() const
+  [[nodiscard]] ConnectionUse Use() const
   {
-    return mSlots.empty() && mReader.State() == ReadState::Idle &&
-           mStream->UnsentBytes() == 0;
+    if (!mSlots.empty() || mStream->UnsentBytes() > 0) {
+      return ConnectionUse::Busy;
+    }
+    if (mClosing) {
+      return ConnectionUse::Closing;
+    }
+    return mReader.State() == ReadState::Idle ? ConnectionUse::Idle
+                                              : ConnectionUse::Busy;
   }
   /** @return how much is gained by shedding this connection: it rises with what
    * it holds and with the time since it moved. */
@@ -236,8 +263,9 @@
   void Shed(TimePoint aNow, const char* aCause)
   {
     const auto self = shared_from_this();
+    const bool isIdle = Use() == ConnectionUse::Idle;
     const bool isRefused =
-      mSlots.empty() && mStream->UnsentBytes() == 0 && !IsIdle();
+      !isIdle && !mClosing && mSlots.empty() && mStream->UnsentBytes() == 0;
     mSide.mLogger.Write(
       aNow,
       LogLevel::Warning,
@@ -247,9 +275,10 @@
         { "bytes", std::to_string(HeldBytes()) },
         { "quiet_ms", std::to_string(ToMillis(Quiet(aNow))) },
         { "in_flight", std::to_string(mSlots.size()) },
+        { "closing", mClosing ? "yes" : "no" },
         { "status", std::to_string(isRefused ? kUnavailable : 0) } });
-    if (IsIdle()) {
-      Close();
+    if (isIdle) {
+      Finish();
     } else if (isRefused) {
       Refuse(kUnavailable);
     } else {
@@ -301,12 +330,11 @@
       // What was handed over before the connection drains is answered, too.
       const bool keep =
         slot.mKeepAlive && (!mSide.mDraining || !mSlots.empty());
-      mStream->Write(FormatResponse(*slot.mResponse, keep, slot.mIsHead));
-      mLastActive = EventLoop::Now();
+      Write(FormatResponse(*slot.mResponse, keep, slot.mIsHead));
       if (!keep) {
         // Requests behind this answer count as not read and come again.
         DropSlots();
-        Close();
+        Finish();
         return;
       }
     }
@@ -328,20 +356,39 @@
       response.mHeaders.emplace_back("Retry-After",
                                      fmt::format("{:.1f}", kReturnSeconds));
     }
-    mStream->Write(FormatResponse(response, false, false));
-    mReader.Discard();
-    Close();
+    Write(FormatResponse(response, false, false));
+    Finish();
   }
 
-  void Close()
+  /** Closes once the caller has what was written. */
+  void Finish()
   {
     mClosing = true;
-    mStream->Close();
-    mSide.Drop(mId);
+    mReader.Discard();
+    CountHeld();
+    if (mHasWritten) {
+      mStream->Finish(mLastActive);
+    } else {
+      mStream->Close();
+      mSide.Drop(mId);
+    }
   }
 
-  void Ended()
+  void Write(std::string aBytes)
   {
+    mStream->Write(std::move(aBytes));
+    mLastActive = EventLoop::Now();
+    mHasWritten = true;
+  }
+
+  void Ended(StreamEnd aEnd)
+  {
+    if (mClosing && aEnd == StreamEnd::ConnectionLost) {
+      mSide.mLogger.Write(EventLoop::Now(),
+                          LogLevel::Warning,
+                          "caller-lost-answer",
+                          { { "caller", mStream->Peer() } });
+    }
     mClosing = true;
     DropSlots();
     mSide.Drop(mId);
@@ -353,9 +400,10 @@
   CallerLimits mLimits;
   RequestReader mReader;
   std::deque<Slot> mSlots;
-  bool mLastSeen = false; ///< No more requests are read here.
-  bool mClosing = false;
+  bool mLastSeen = false;  ///< No more requests are read here.
+  bool mClosing = false;   ///< Nothing more is read or written.
   bool mIsToParse = false; ///< Waits for its turn to parse.
+  bool mHasWritten = false;
   TimePoint mLastActive;
   TimePoint mLastMoved; ///< Bytes arrived, or all answers were taken.
   MemoryAccount::Share mInput;
@@ -454,8 +502,8 @@
   const size_t count = mConnections.size() - mOptions.mMaxConnections +
                        mOptions.mMaxConnections / kShedPart;
   const auto isWorse = [aNow](const auto& aLeft, const auto& aRight) {
-    return std::pair{ aLeft->IsIdle(), aLeft->ShedRank(aNow) } >
-           std::pair{ aRight->IsIdle(), aRight->ShedRank(aNow) };
+    return std::pair{ aLeft->Use(), aLeft->ShedRank(aNow) } >
+           std::pair{ aRight->Use(), aRight->ShedRank(aNow) };
   };
   const auto end = all.begin() + ptrdiff_t(std::min(count, all.size()));
   std::partial_sort(all.begin(), end, all.end(), isWorse);
@@ -534,9 +582,14 @@
 }
 
 void
-CallerSide::StopListening()
+CallerSide::Finish()
 {
   mListener.Close();
+  StartDraining();
+  const auto all = mConnections;
+  for (const auto& [id, connection] : all) {
+    connection->StopReading();
+  }
 }
 
 void
--- a/libs/proxy/src/ProxyParts.h
+++ b/libs/proxy/src/ProxyParts.h
@@ -27,6 +27,14 @@
   void Tick(TimePoint aNow);
   void SlowTick(TimePoint aNow);
   void StartShutdown(TimePoint aNow);
+  /** Goes on with a shutdown that was started. */
+  void ContinueShutdown(TimePoint aNow);
+  /** Closes the connections of callers, of the upstream's reports and of other
+   * nodes, once they have what was sent. */
+  void FinishConnections(TimePoint aNow);
+  /** @return the connections that FinishConnections() has not closed yet. */
+  [[nodiscard]] size_t OpenConnections() const;
+  void Stop(TimePoint aNow);
   void TakeRoutes(const std::string& aDocument, const char* aFrom);
   /** Logs routes that are not taken. */
   void LogOldRoutes(const RouteTable& aTable,
@@ -108,6 +116,7 @@
   std::string mRoutesDocument;
   TimePoint mReported{};
   std::optional<TimePoint> mShutdownSince;
+  bool mIsFinishing = false; ///< FinishConnections() was called.
   std::function<void()> mOnStopped;
 };
 
--- a/libs/proxy/src/ProxyProcess.cpp
+++ b/libs/proxy/src/ProxyProcess.cpp
@@ -10,13 +10,6 @@
 
 constexpr Duration kTick = milliseconds(20);
 constexpr Duration kSlowTick = milliseconds(100);
-// New requests are taken for this long after SIGTERM: callers turn away after
-// two missed questions a second apart.
-constexpr Duration kTakeAfterTerm = milliseconds(2600);
-// Left of the shutdown time when requests in flight are given up, and when the
-// process ends.
-constexpr Duration kGiveUpMargin = milliseconds(500);
-constexpr Duration kExitMargin = milliseconds(300);
 // Others are told of a load this often while it is worth telling.
 constexpr Duration kReportPause = milliseconds(500);
 // Part of the descriptors for connections of callers. The rest is for the
@@ -382,52 +375,13 @@
   mDiscovery->PeerState(aNow, aState);
 }
 
-void
-ProxyProcess::Parts::StartShutdown(TimePoint aNow)
-{
-  if (mShutdownSince) {
-    return;
-  }
-  mShutdownSince = aNow;
-  mLogger.Write(aNow,
-                LogLevel::Info,
-                "shutdown-started",
-                { { "in_flight", std::to_string(mForwarder.InFlight()) } });
-  mDiscovery->Leave(aNow);
-  mUpstream.StopWork();
-}
-
 void
 ProxyProcess::Parts::Tick(TimePoint aNow)
 {
   mForwarder.Tick(aNow);
   mUpstream.Tick(aNow);
-  if (!mShutdownSince) {
-    return;
-  }
-  const Duration since = aNow - *mShutdownSince;
-  if (since > kTakeAfterTerm) {
-    mForwarder.StopWork();
-    mCallers.StartDraining();
-  }
-  if (since > mSettings.mShutdownTime - kGiveUpMargin) {
-    mForwarder.EndAll(aNow);
-  }
-  const bool idle = mForwarder.InFlight() == 0 && mUpstream.InFlight() == 0 &&
-                    UnsentBytes() == 0;
-  if ((since > kTakeAfterTerm && idle) ||
-      since > mSettings.mShutdownTime - kExitMargin) {
-    mLogger.Write(aNow,
-                  LogLevel::Info,
-                  "stopped",
-                  { { "in_flight", std::to_string(mForwarder.InFlight()) },
-                    { "unsent_bytes", std::to_string(UnsentBytes()) } });
-    mTimer.Stop();
-    mSlowTimer.Stop();
-    mLogger.Flush();
-    if (mOnStopped) {
-      mOnStopped();
-    }
+  if (mShutdownSince) {
+    ContinueShutdown(aNow);
   }
 }
 
@@ -464,13 +418,6 @@
                     mLinks.UsagePeers()));
 }
 
-size_t
-ProxyProcess::Parts::UnsentBytes() const
-{
-  return mAccount->HeldFor(MemoryUse::CallerOutput) +
-         mAccount->HeldFor(MemoryUse::PeerOutput);
-}
-
 CallerSide::Options
 ProxyProcess::Parts::CallerOptions() const
 {
