--- a/libs/proxy/include/proxy/PeerServer.h
+++ b/libs/proxy/include/proxy/PeerServer.h
@@ -64,6 +64,11 @@
   /** Sends a notice to the connected nodes that a function selects. */
   void SendCrashes(const CrashNotice& aNotice,
                    const CrashExchange::PeerFilter& aFilter);
+  /** Accepts no more connections, and closes all after what was sent. What
+   * peers still send is not read. A connection counts until its peer has closed
+   * it or is given up. */
+  void Finish(TimePoint aNow);
+  [[nodiscard]] size_t Connections() const { return mConnections.size(); }
   [[nodiscard]] uint16_t Port() const { return mListener.Port(); }
 
 private:
--- a/libs/proxy/src/PeerServer.cpp
+++ b/libs/proxy/src/PeerServer.cpp
@@ -49,6 +49,8 @@
 
   void Send(const LinkMessage& aMessage) { Write(EncodeFrame(aMessage)); }
   void Write(std::string aFrame) { mStream->Write(std::move(aFrame)); }
+  /** Closes once the peer has what was written. */
+  void Finish(TimePoint aNow) { mStream->Finish(aNow); }
   /** @return the data centre of the peer; empty before its first message. */
   [[nodiscard]] const std::string& DataCentre() const
   {
@@ -103,8 +105,8 @@
                               "peer-message-unusable",
                               { { "peer", mStream->Peer() },
                                 { "detail", message.error().ToString() } });
-        mStream->Close();
-        Ended();
+        CancelAll();
+        Finish(EventLoop::Now());
         return;
       }
       if (!message.value()) {
@@ -173,11 +175,16 @@
                                           });
   }
 
-  void Ended()
+  void CancelAll()
   {
     for (const auto& [call, running] : std::exchange(mRunning, {})) {
       mServer.mEvents.mCancel(running);
     }
+  }
+
+  void Ended()
+  {
+    CancelAll();
     mServer.Drop(mId);
   }
 
@@ -237,6 +244,15 @@
   }
 }
 
+void
+PeerServer::Finish(TimePoint aNow)
+{
+  mListener.Close();
+  for (const auto& [id, connection] : mConnections) {
+    connection->Finish(aNow);
+  }
+}
+
 void
 PeerServer::SendToAll(const LinkMessage& aMessage)
 {
--- a/libs/proxy/src/ProxyShutdown.cpp
+++ b/libs/proxy/src/ProxyShutdown.cpp
@@ -63,17 +63,19 @@
                 { { "callers", std::to_string(mCallers.Connections()) },
                   { "reports", std::to_string(mReportSide.Connections()) },
                   { "questions", std::to_string(mReadySide.Connections()) },
+                  { "peers", std::to_string(mPeerServer.Connections()) },
                   { "unsent_bytes", std::to_string(UnsentBytes()) } });
   mCallers.Finish();
   mReportSide.Finish();
   mReadySide.Finish();
+  mPeerServer.Finish(aNow);
 }
 
 size_t
 ProxyProcess::Parts::OpenConnections() const
 {
   return mCallers.Connections() + mReportSide.Connections() +
-         mReadySide.Connections();
+         mReadySide.Connections() + mPeerServer.Connections();
 }
 
 size_t
--- a/libs/proxy/tests/ClosingConnectionTest.cpp
+++ b/libs/proxy/tests/ClosingConnectionTest.cpp
@@ -3,6 +3,7 @@
 #include "ProxyFleet.h"
 #include "RawClient.h"
 #include "proxy/CallerSide.h"
+#include "wire/FrameCodec.h"
 
 using namespace amaranthgap;
 
@@ -11,6 +12,7 @@
 constexpr size_t kEntry = 0;
 constexpr size_t kTarget = 1;
 constexpr uint16_t kCallerPort = 7501;
+constexpr uint16_t kPeerPort = 7504;
 constexpr Duration kShutdownTime = seconds(6);
 // Time of a shutdown in which requests are taken.
 constexpr Duration kTakingTime = milliseconds(2600);
@@ -237,6 +239,62 @@
   CHECK(EventLoop::Now() - start < kShutdownTime);
 }
 
+// Guards against lost replies of requests that ran, because another node sends
+// more while the process that ran them ends.
+TEST_CASE("what a node sends during a shutdown of another costs it no reply")
+{
+  ClosingFleet fleet;
+  const auto peer = fleet.Connect(kTarget, kPeerPort);
+  NodeAddress self;
+  self.mNode = "peer";
+  peer->Send(EncodeFrame(LinkHello{ .mFrom = self }));
+  ForwardRequest request;
+  request.mCall = 7;
+  request.mRequestId = "id-1";
+  request.mService = "logs";
+  request.mInstance = "i1";
+  request.mTimeLeftMs = 8000;
+  request.mIdempotent = true;
+  request.mHttp = { .mMethod = "GET",
+                    .mPath = "/logs/short",
+                    .mHeaders = { { "Test-Id", "id-1" } } };
+  peer->Send(EncodeFrame(request));
+  peer->Move(false);
+  FakeUpstream& upstream = *fleet.At(kTarget).mUpstream;
+  std::function<void()> respond;
+  upstream.SetBehaviour(
+    [&](FakeUpstream::Connection& aConnection, const HttpRequest& aRequest) {
+      respond = [&aConnection, aRequest] {
+        FakeUpstream::Respond(
+          aConnection, aRequest, 200, std::string(kShortBytes, 'x'));
+      };
+    });
+  REQUIRE(fleet.Until([&] { return upstream.Runs() == 1; }));
+  const TimePoint start = EventLoop::Now();
+  fleet.At(kTarget).mProxy->StartShutdown();
+  fleet.Pass(kTakingTime - milliseconds(200));
+  respond();
+  fleet.Pass(milliseconds(500));
+  peer->Send(EncodeFrame(LinkProbe{}));
+  peer->Move(false);
+  fleet.Pass(milliseconds(200));
+  CHECK(fleet.Until([&] { return peer->Move(); }));
+  FrameReader reader;
+  reader.Feed(peer->Received());
+  std::optional<ForwardReply> reply;
+  while (auto message = reader.Next()) {
+    if (!message.value()) {
+      break;
+    }
+    if (auto* found = std::get_if<ForwardReply>(&*message.value())) {
+      reply = std::move(*found);
+    }
+  }
+  REQUIRE(reply);
+  CHECK(reply->mHttp.mBody.size() == kShortBytes);
+  CHECK(EventLoop::Now() - start < kShutdownTime);
+}
+
 // Guards against memory without a bound for answers of connections that are
 // closed once their callers have read them.
 TEST_CASE("unread answers of closing connections stay within the memory limit")
