--- a/libs/net/include/net/TcpStream.h
+++ b/libs/net/include/net/TcpStream.h
@@ -30,6 +30,9 @@
   /** All buffered data was written to the socket. Called only if some of it had
    * to wait, or if it was more than some kilobytes. */
   std::function<void()> mOnDrained;
+  /** The peer sent a FIN while data was unsent, which it may still read: the
+   * callback calls Finish(). Without this callback the connection ends. */
+  std::function<void()> mOnHalfClosed;
   /** Called at most once, and not after Close() or Reset(). */
   std::function<void(StreamEnd)> mOnClosed;
 };
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -126,8 +126,11 @@
   {
     if (!ReadsEnd()) {
       End(StreamEnd::ConnectionLost);
-    } else if (mLinger && UnsentBytes() > 0) {
-      mHasReadEnd = true; // The peer may still read.
+    } else if (UnsentBytes() > 0 && (mLinger || mCallbacks.mOnHalfClosed)) {
+      mHasReadEnd = true;
+      if (const auto call = std::exchange(mCallbacks.mOnHalfClosed, {})) {
+        call();
+      }
     } else if (mBytesInWrite == 0) {
       End(StreamEnd::ClosedByPeer);
     } else {
@@ -259,6 +262,7 @@
   {
     mCallbacks.mOnData = {};
     mCallbacks.mOnDrained = {};
+    mCallbacks.mOnHalfClosed = {};
     mLinger.emplace(EventLoop::Now(),
                     aLastMoved,
                     UnacknowledgedBytes(),
--- a/libs/proxy/src/CallerSide.cpp
+++ b/libs/proxy/src/CallerSide.cpp
@@ -113,6 +113,12 @@
         self->ReadRequests();
       }
     };
+    events.mOnHalfClosed = [weak] {
+      if (const auto self = weak.lock()) {
+        self->DropSlots();
+        self->Finish();
+      }
+    };
     events.mOnClosed = [weak](StreamEnd aEnd) {
       if (const auto self = weak.lock()) {
         self->Ended(aEnd);
--- a/libs/proxy/tests/ClosingConnectionTest.cpp
+++ b/libs/proxy/tests/ClosingConnectionTest.cpp
@@ -215,6 +215,24 @@
   CHECK(answers[1].mStatus == 413);
 }
 
+// Guards against losing the rest of an answer to a caller that has sent its
+// last request and ends its side while it reads.
+TEST_CASE("a caller that ends its side early gets the rest of its answer")
+{
+  ClosingFleet fleet;
+  const auto caller = fleet.Connect(kEntry, kCallerPort);
+  caller->Send(Request("GET", "/logs/long", "id-1"));
+  caller->Move(false);
+  REQUIRE(
+    fleet.Until([&] { return fleet.Metric(kEntry, "answered_total") == 1; }));
+  fleet.Pass(milliseconds(100));
+  caller->ShutDownSending();
+  fleet.Pass(milliseconds(200));
+  CHECK(fleet.Until([&] { return caller->Move(); }));
+  REQUIRE(AnswersOf(*caller).size() == 1);
+  CHECK(AnswersOf(*caller)[0].mBody.size() == kLongBytes);
+}
+
 // Guards against a process that waits without a bound for callers that do not
 // take their answers, or do not close their connections.
 TEST_CASE("callers that neither read nor close do not hold up a shutdown")
