--- a/libs/server/include/server/HttpListener.h
+++ b/libs/server/include/server/HttpListener.h
@@ -72,8 +72,8 @@
   /** Closes the port. Open connections are served further, and each is closed
    * after its next answer. */
   void StopAccepting();
-  /** Closes idle connections, waits up to aGrace for requests in flight, and
-   * cuts off the rest.
+  /** Closes idle connections, waits up to aGrace for requests in flight and for
+   * clients that still read their answers, and cuts off the rest.
    * @return the number of requests that were cut off. */
   size_t Stop(Duration aGrace);
 
@@ -141,6 +141,10 @@
   std::atomic<size_t> mBuffered = 0;  ///< Bytes in the buffers of connections.
   std::atomic<uint32_t> mServing = 0; ///< Requests without a written answer.
 
+  /** @return whether clients may still read answers after which their
+   * connections are closed. */
+  bool HasClosing(TimePoint aNow);
+
   std::mutex mMutex; ///< Guards the members below.
   std::condition_variable mWorkerEnded;
   uint64_t mNextId = 1;
--- a/libs/server/src/HttpListener.cpp
+++ b/libs/server/src/HttpListener.cpp
@@ -117,9 +117,11 @@
 HttpListener::Stop(Duration aGrace)
 {
   StopAccepting();
-  const auto deadline = std::chrono::steady_clock::now() + aGrace;
-  while (mServing > 0 && std::chrono::steady_clock::now() < deadline) {
+  TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint deadline = now + aGrace;
+  while ((mServing > 0 || HasClosing(now)) && now < deadline) {
     std::this_thread::sleep_for(milliseconds(5));
+    now = std::chrono::steady_clock::now();
   }
   const size_t cut = mServing;
   std::vector<ConnectionPtr> open;
@@ -173,6 +175,18 @@
   }
 }
 
+bool
+HttpListener::HasClosing(TimePoint aNow)
+{
+  const std::scoped_lock lock(mMutex);
+  return std::ranges::any_of(mConnections, [aNow](const auto& aEntry) {
+    HttpConnection& connection = *aEntry.second;
+    const std::scoped_lock inner(connection.mMutex);
+    return connection.mState == HttpConnection::State::Closing &&
+           connection.mDeadline.load() >= aNow;
+  });
+}
+
 size_t
 HttpListener::GetConnectionCount()
 {
--- a/libs/server/tests/HttpListenerTest.cpp
+++ b/libs/server/tests/HttpListenerTest.cpp
@@ -361,3 +361,30 @@
   CHECK(busy.WaitForEnd());
   CHECK_FALSE(TestSocket(fixture.Port()).IsConnected());
 }
+
+// Guards against a reset by which a client loses an answer that is on its way,
+// because it sends more while the listener ends.
+TEST_CASE("the end waits for clients that still read answers", "[server]")
+{
+  constexpr size_t kAnswerBytes = size_t(64) * 1024;
+  std::atomic<bool> isStarted = false;
+  std::atomic<bool> isReleased = false;
+  Fixture fixture(TestOptions(), [&](const HttpRequest&, HttpConnection&) {
+    isStarted = true;
+    Eventually([&] { return isReleased.load(); });
+    return HttpResponse{ .mStatus = 200,
+                         .mBody = std::string(kAnswerBytes, 'x') };
+  });
+  TestSocket client(fixture.Port(), 4096);
+  client.Send(Get("/"));
+  REQUIRE(Eventually([&] { return isStarted.load(); }));
+  std::thread end([&] { fixture.mListener.Stop(seconds(5)); });
+  CHECK(Eventually([&] { return !TestSocket(fixture.Port()).IsConnected(); }));
+  isReleased = true;
+  std::this_thread::sleep_for(milliseconds(300));
+  client.Send(Get("/"));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(BodyOf(client.ReadAnswer()).size() == kAnswerBytes);
+  client.Close();
+  end.join();
+}
--- a/libs/server/tests/TestSocket.h
+++ b/libs/server/tests/TestSocket.h
@@ -15,9 +15,14 @@
 class TestSocket
 {
 public:
-  explicit TestSocket(int aPort)
+  /** @param aWindowBytes size of the receive buffer; 0 for the usual one. */
+  explicit TestSocket(int aPort, int aWindowBytes = 0)
     : mSocket(::socket(AF_INET, SOCK_STREAM, 0))
   {
+    if (aWindowBytes > 0) {
+      setsockopt(
+        mSocket, SOL_SOCKET, SO_RCVBUF, &aWindowBytes, sizeof(aWindowBytes));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(uint16_t(aPort));
