--- a/libs/proxy/src/CallerSide.cpp
+++ b/libs/proxy/src/CallerSide.cpp
@@ -391,8 +391,8 @@
   {
     if (mClosing && aEnd == StreamEnd::ConnectionLost) {
       mSide.mLogger.Write(EventLoop::Now(),
-                          LogLevel::Warning,
-                          "caller-lost-answer",
+                          LogLevel::Info,
+                          "closing-connection-lost",
                           { { "caller", mStream->Peer() } });
     }
     mClosing = true;
@@ -407,7 +407,7 @@
   RequestReader mReader;
   std::deque<Slot> mSlots;
   bool mLastSeen = false;  ///< No more requests are read here.
-  bool mClosing = false;   ///< Nothing more is read or written.
+  bool mClosing = false;   ///< No further request or answer follows.
   bool mIsToParse = false; ///< Waits for its turn to parse.
   bool mHasWritten = false;
   TimePoint mLastActive;
--- a/libs/proxy/src/ProxyParts.h
+++ b/libs/proxy/src/ProxyParts.h
@@ -29,10 +29,10 @@
   void StartShutdown(TimePoint aNow);
   /** Goes on with a shutdown that was started. */
   void ContinueShutdown(TimePoint aNow);
-  /** Closes the connections of callers, of the upstream's reports and of other
-   * nodes, once they have what was sent. */
-  void FinishConnections(TimePoint aNow);
-  /** @return the connections that FinishConnections() has not closed yet. */
+  /** Closes the connections of callers, of the upstream's reports and of
+   * questions for readiness, once they have their answers. */
+  void FinishCallers(TimePoint aNow);
+  /** @return the connections that others have opened. */
   [[nodiscard]] size_t OpenConnections() const;
   void Stop(TimePoint aNow);
   void TakeRoutes(const std::string& aDocument, const char* aFrom);
@@ -116,7 +116,7 @@
   std::string mRoutesDocument;
   TimePoint mReported{};
   std::optional<TimePoint> mShutdownSince;
-  bool mIsFinishing = false; ///< FinishConnections() was called.
+  bool mAreCallersFinished = false; ///< FinishCallers() was called.
   std::function<void()> mOnStopped;
 };
 
--- a/libs/proxy/src/ProxyShutdown.cpp
+++ b/libs/proxy/src/ProxyShutdown.cpp
@@ -39,24 +39,31 @@
     mForwarder.StopWork();
     mCallers.StartDraining();
   }
-  if (since > mSettings.mShutdownTime - kGiveUpMargin) {
+  const bool isGivenUp = since > mSettings.mShutdownTime - kGiveUpMargin;
+  if (isGivenUp) {
     mForwarder.EndAll(aNow);
   }
-  const bool isWorkDone =
-    mForwarder.InFlight() == 0 && mUpstream.InFlight() == 0;
-  if (since > kTakeAfterTerm && isWorkDone &&
-      !std::exchange(mIsFinishing, true)) {
-    FinishConnections(aNow);
+  const bool isWorkDone = since > kTakeAfterTerm &&
+                          mForwarder.InFlight() == 0 &&
+                          mUpstream.InFlight() == 0;
+  if (isWorkDone || isGivenUp) {
+    FinishCallers(aNow);
   }
-  if ((mIsFinishing && OpenConnections() == 0) ||
+  if (isWorkDone) {
+    mPeerServer.Finish(aNow);
+  }
+  if ((isWorkDone && OpenConnections() == 0) ||
       since > mSettings.mShutdownTime - kExitMargin) {
     Stop(aNow);
   }
 }
 
 void
-ProxyProcess::Parts::FinishConnections(TimePoint aNow)
+ProxyProcess::Parts::FinishCallers(TimePoint aNow)
 {
+  if (std::exchange(mAreCallersFinished, true)) {
+    return;
+  }
   mLogger.Write(aNow,
                 LogLevel::Info,
                 "connections-finished",
@@ -68,7 +75,6 @@
   mCallers.Finish();
   mReportSide.Finish();
   mReadySide.Finish();
-  mPeerServer.Finish(aNow);
 }
 
 size_t
