--- a/review/standins-3/Case14.cpp
+++ b/review/standins-3/Case14.cpp
@@ -107,5 +107,6 @@
 int
 main(int, char** argv)
 {
-  return RunCase([&] { return Play(argv[1]); });
+  constexpr rlim_t kDescriptors = 4100;
+  return RunCase([&] { return Play(argv[1]); }, kDescriptors);
 }
--- a/review/standins-3/Harness.h
+++ b/review/standins-3/Harness.h
@@ -1222,9 +1222,10 @@
   return !text || std::string_view(text) != "0";
 }
 
-/** Runs a case and turns its problems into an exit status. */
+/** Runs a case and turns its problems into an exit status.
+ * @param aDescriptors that its stand-ins need. */
 inline int
-RunCase(const std::function<int()>& aCase)
+RunCase(const std::function<int()>& aCase, rlim_t aDescriptors = 512)
 {
   signal(SIGPIPE, SIG_IGN);
   rlimit files{};
@@ -1232,6 +1233,9 @@
   files.rlim_cur = files.rlim_max;
   setrlimit(RLIMIT_NOFILE, &files);
   try {
+    if (files.rlim_max < aDescriptors) {
+      throw CouldNotRun("too few descriptors");
+    }
     return aCase();
   } catch (const std::exception& error) {
     std::fprintf(stderr, "could not run: %s\n", error.what());
