--- a/review/standins-3/Case12.cpp
+++ b/review/standins-3/Case12.cpp
@@ -108,6 +108,7 @@
   });
   Sleep(1000);
   std::vector<std::thread> readers;
+  readers.reserve(kReaders);
   for (int n = 0; n < kReaders; ++n) {
     readers.emplace_back([&] {
       const auto end = Clock::now() + std::chrono::seconds(kReadSeconds);
