Replace review case 11 by a hang that heads with many options cause

The case of short requests is review/7, which shows it already. Scripts end in time and end what they started when they are stopped.

--- a/review/standins-3/Case11.cpp
+++ b/review/standins-3/Case11.cpp
@@ -1,4 +1,5 @@
-// A client sends many short requests one behind the other on one connection.
+// Ordinary reads while strangers send heads with many options of `Connection`
+// and bodies with many short trailer lines.
 
 #include "Harness.h"
 
@@ -6,69 +7,113 @@
 
 namespace {
 
-constexpr int kWorkMillis = 400;
-// What the client sends: eight proper reads, and behind them requests without
-// an id, which are answered with 400. All together they are 82 KB.
-constexpr int kReads = 8;
-constexpr int kFirstBatch = 1024;
-constexpr int kSecondBatch = 4096;
-constexpr int kMostConnections = 20;
-// Without the disruption.
-constexpr int kFewRequests = 16;
-// The rules: ends of a process that count, and lost answers that are allowed.
-constexpr int kEnds = 3;
-constexpr int kAllowed = 3;
+constexpr int kWorkMillis = 100;
+// The strangers.
+constexpr int kStrangers = 40;
+constexpr int kRequestsEach = 6;
+constexpr int kOptions = 7600;
+constexpr int kTrailers = 3800;
+// The ordinary callers.
+constexpr int kReaders = 16;
+constexpr int kTimeoutMillis = 1500;
+constexpr int kSeconds = 10;
+// The rule: how long after the timeout, and how many requests at least.
+constexpr int kLateMillis = 500;
+constexpr int kLeastLate = 8;
 
 std::string
-Short(int aCount)
+Repeat(const std::string& aText, int aCount)
 {
   std::string out;
   for (int n = 0; n < aCount; ++n) {
-    out += "G / HTTP/1.1\r\n\r\n";
+    out += aText;
   }
   return out;
 }
 
-/** Sends the requests on one connection after the other, until the process
- * has ended or the client gives up. */
-void
-SendShortRequests(Fleet& aFleet, Proxy& aProxy)
+/** @return a request inside the limits of the configuration: its head and its
+ * trailers are shorter than maxHeaderBytes. Without the disruption it has as
+ * many bytes in one option and one line. */
+std::string
+StrangeRequest(const std::string& aId)
 {
   const bool hasTrouble = HasTrouble();
-  const int most = hasTrouble ? kMostConnections : 1;
-  for (int n = 1; n <= most && aProxy.IsAlive(); ++n) {
-    Socket client =
-      Socket::Connect(aProxy.Host(), aProxy.PortOf(Proxy::kCallers));
-    std::string reads;
-    for (int k = 0; k < kReads; ++k) {
-      reads += Fleet::Head("GET", "/read/1", "read-" + aFleet.NextId());
-    }
-    client.Send(reads);
-    Sleep(20);
-    client.Send(Short(hasTrouble ? kFirstBatch : kFewRequests));
-    Sleep(20);
-    if (hasTrouble) {
-      client.Send(Short(kSecondBatch));
-    }
-    const auto end = Clock::now() + milliseconds(kWorkMillis + 600);
-    while (client.Fill(end)) {
-    }
-    size_t refused = 0;
-    for (size_t at = 0;
-         (at = client.Buffer().find("HTTP/1.1 400", at)) != std::string::npos;
-         ++at) {
-      ++refused;
-    }
-    aFleet.Log().Line(
-      "client, connection " + std::to_string(n) + " to " + aProxy.Name() +
-      ": sent " + std::to_string(kReads) + " reads and " +
-      std::to_string(hasTrouble ? kFirstBatch + kSecondBatch : kFewRequests) +
-      " short requests, got " + std::to_string(refused) + " answers with 400");
+  const std::string options =
+    hasTrouble ? Repeat("a,", kOptions - 1) + "a" : Repeat("aa", kOptions);
+  const std::string trailers =
+    hasTrouble ? Repeat("b:\r\n", kTrailers)
+               : "b:" + std::string(size_t(4) * kTrailers, 'b') + "\r\n";
+  return Fleet::Head("POST",
+                     "/read/1",
+                     aId,
+                     "Connection: " + options +
+                       "\r\nTransfer-Encoding: chunked\r\n") +
+         "1\r\nx\r\n0\r\n" + trailers + "\r\n";
+}
+
+struct Reads
+{
+  std::atomic<int> mSent = 0;
+  std::atomic<int> mAtTimeout = 0; ///< Without an answer then.
+  std::atomic<int> mLater = 0;     ///< Without one half a second later.
+};
+
+std::vector<std::thread>
+StartReaders(Fleet& aFleet, Proxy& aEntry, Reads& aReads)
+{
+  std::vector<std::thread> out;
+  out.reserve(kReaders);
+  for (int n = 0; n < kReaders; ++n) {
+    out.emplace_back([&] {
+      const auto end = Clock::now() + std::chrono::seconds(kSeconds);
+      while (Clock::now() < end) {
+        const std::string id = "read-" + aFleet.NextId();
+        const auto begin = Clock::now();
+        const auto answer =
+          Fleet::Ask(aEntry, "GET", "/read/1", id, "", kTimeoutMillis + 1000);
+        const auto took =
+          std::chrono::duration_cast<milliseconds>(Clock::now() - begin)
+            .count();
+        ++aReads.mSent;
+        aReads.mAtTimeout += took > kTimeoutMillis ? 1 : 0;
+        aReads.mLater += took > kTimeoutMillis + kLateMillis ? 1 : 0;
+        if (took > kTimeoutMillis) {
+          aFleet.Log().Line("ordinary caller: " + id + ": " + answer.Text() +
+                            " after " + std::to_string(took) + " ms");
+        }
+        Sleep(100);
+      }
+    });
   }
-  const bool isAlive = aProxy.IsAlive();
-  aFleet.Log().Line(
-    aProxy.Name() +
-    (isAlive ? " still runs" : " has ended by itself: " + aProxy.End()));
+  return out;
+}
+
+std::vector<std::thread>
+StartStrangers(Fleet& aFleet, Proxy& aEntry)
+{
+  std::vector<std::thread> out;
+  out.reserve(kStrangers);
+  for (int n = 0; n < kStrangers; ++n) {
+    out.emplace_back([&] {
+      Socket socket =
+        Socket::Connect(aEntry.Host(), aEntry.PortOf(Proxy::kCallers));
+      std::string last = "no answer";
+      int answered = 0;
+      for (int k = 0; k < kRequestsEach; ++k) {
+        socket.Send(StrangeRequest("strange-" + aFleet.NextId()));
+        const auto answer = ReadAnswer(socket, 20000);
+        if (!answer.mMessage) {
+          break;
+        }
+        ++answered;
+        last = answer.Text();
+      }
+      aFleet.Log().Line("stranger: " + std::to_string(answered) + " of " +
+                        std::to_string(kRequestsEach) +
+                        " requests answered, the last with " + last);
+    });
+  }
+  return out;
 }
 
 int
@@ -77,8 +122,7 @@
   Fleet fleet(aRecord, kPageLimits);
   Proxy& entry = fleet.AddProxy("sidecar-a", "front");
   Proxy& target = fleet.AddProxy("sidecar-b", "back");
-  fleet.AddRoute("/read/", "safe", "back");
-  fleet.AddRoute("/book/", "non_idempotent", "back");
+  fleet.AddRoute("/read/", "safe", "back", kTimeoutMillis);
   fleet.WriteConfig();
   const auto work = [](const Message&) {
     Sleep(kWorkMillis);
@@ -95,28 +139,28 @@
   fleet.Beat(target, "i-b", 64);
   fleet.AwaitServing(entry, "/read/1");
 
-  OrdinaryCallers callers(fleet, entry, back, kWorkMillis);
-  std::map<std::string, int> ends;
-  for (int round = 0; round < kEnds; ++round) {
-    for (Proxy* it : { &entry, &target }) {
-      Sleep(1000);
-      SendShortRequests(fleet, *it);
-      if (!it->IsAlive()) {
-        ++ends[it->Name()];
-        Sleep(500);
-        it->Start(); // As the platform does.
-        fleet.AwaitServing(entry, "/read/1");
-      }
+  fleet.Log().Line(
+    "request of a stranger: " + std::to_string(StrangeRequest("id").size()) +
+    " bytes, " + std::to_string(kStrangers * kRequestsEach) + " of them from " +
+    std::to_string(kStrangers) + " clients");
+  Reads reads;
+  auto readers = StartReaders(fleet, entry, reads);
+  Sleep(1000);
+  auto strangers = StartStrangers(fleet, entry);
+  for (auto* threads : { &strangers, &readers }) {
+    for (auto& it : *threads) {
+      it.join();
     }
   }
-  callers.End();
-  const int lost = callers.LogTotal(fleet.Log());
-  const bool isFault =
-    ends[entry.Name()] >= kEnds && ends[target.Name()] >= kEnds;
-  fleet.Log().Line("processes ended by themselves: sidecar-a " +
-                   std::to_string(ends[entry.Name()]) + " times, sidecar-b " +
-                   std::to_string(ends[target.Name()]) + " times");
-  const int verdict = isFault || lost > kAllowed ? kBroken : kHeld;
+  fleet.Log().Line(
+    std::string("proxies alive: ") + (entry.IsAlive() ? "yes " : "no ") +
+    (target.IsAlive() ? "yes; " : "no; ") + std::to_string(reads.mSent) +
+    " reads, without an answer after their route's timeout: " +
+    std::to_string(reads.mAtTimeout) +
+    ", half a second later: " + std::to_string(reads.mLater));
+  const bool isBroken =
+    reads.mLater >= kLeastLate && 2 * reads.mLater > reads.mAtTimeout;
+  const int verdict = isBroken ? kBroken : kHeld;
   fleet.Log().Line(verdict == kHeld ? "held" : "broken");
   return verdict;
 }
--- a/review/standins-3/Harness.h
+++ b/review/standins-3/Harness.h
@@ -4,6 +4,7 @@
 // loopback addresses, and the proxies as processes of their own.
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -716,6 +717,31 @@
 
 // -- Fleet ------------------------------------------------------------------
 
+/** Processes that run, so that they end when the case is stopped. */
+inline std::array<std::atomic<pid_t>, 16> gPids{};
+
+inline void
+NotePid(pid_t aBefore, pid_t aAfter)
+{
+  for (auto& it : gPids) {
+    pid_t expected = aBefore;
+    if (it.compare_exchange_strong(expected, aAfter)) {
+      return;
+    }
+  }
+}
+
+inline void
+EndAtSignal(int)
+{
+  for (auto& it : gPids) {
+    if (const pid_t pid = it.load(); pid > 0) {
+      ::kill(pid, SIGKILL);
+    }
+  }
+  ::_exit(kCouldNotRun);
+}
+
 /** One proxy process, started as deploy/system.toml says. */
 class Proxy
 {
@@ -829,6 +855,7 @@
       mPid = 0;
       throw CouldNotRun("target/app/amaranthgap cannot be started");
     }
+    NotePid(0, mPid);
     mRecord.Line("started " + mOptions.mName);
   }
   void Signal(int aSignal)
@@ -842,6 +869,7 @@
     if (IsAlive()) {
       ::kill(mPid, SIGKILL);
       ::waitpid(mPid, nullptr, 0);
+      NotePid(mPid, 0);
       mPid = 0;
     }
   }
@@ -854,6 +882,7 @@
     if (::waitpid(mPid, &status, WNOHANG) == 0) {
       return true;
     }
+    NotePid(mPid, 0);
     mPid = 0;
     mEnd = WIFSIGNALED(status)
              ? std::string("signal ") + strsignal(WTERMSIG(status))
@@ -1228,6 +1257,8 @@
 RunCase(const std::function<int()>& aCase, rlim_t aDescriptors = 512)
 {
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGTERM, EndAtSignal);
+  signal(SIGINT, EndAtSignal);
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
   files.rlim_cur = files.rlim_max;
