--- a/review/standins-3/Case12.cpp
+++ b/review/standins-3/Case12.cpp
@@ -78,8 +78,9 @@
       Sleep(150);
     }
     const std::string id = "upload-" + aFleet.NextId();
-    const auto answer = Fleet::Ask(
-      aEntry, "POST", "/upload/1", id, std::string(kUploadBytes, 'u'));
+    Socket kept = Fleet::OpenKept(aFleet, aEntry);
+    const auto answer = Fleet::AskOn(
+      kept, "POST", "/upload/1", id, std::string(kUploadBytes, 'u'));
     Sleep(2 * kWorkMillis);
     const int runs = aUpstream.RunsOf(id);
     lost += !answer.mMessage && runs > 0 ? 1 : 0;
